--- /dev/null
+++ b/src/main/java/willowyoke/Main.java
@@ -0,0 +1,30 @@
+package willowyoke;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+
+/** The command line: {@code drill} speaks the wire on standard input and output. */
+public final class Main {
+    private Main() { }
+
+    /** Runs the command and exits non-zero with one plain line where the input is malformed. */
+    public static void main(String[] args) throws IOException {
+        if (args.length != 1 || !args[0].equals("drill")) {
+            System.err.println("usage: willowyoke drill");
+            System.exit(2);
+        }
+        BufferedReader in = new BufferedReader(
+            new InputStreamReader(System.in, StandardCharsets.UTF_8), 1 << 16);
+        PrintStream out = new PrintStream(new java.io.FileOutputStream(java.io.FileDescriptor.out), false);
+        try {
+            new Wire().run(in, out);
+        } catch (Wire.Malformed bad) {
+            System.err.println(bad.getMessage());
+            System.exit(1);
+        }
+        out.flush();
+    }
+}
