--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -5,15 +5,21 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import willowyoke.net.Config;
+import willowyoke.net.Node;
 
-/** The command line: {@code drill} speaks the wire on standard input and output. */
+/** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
     public static void main(String[] args) throws IOException {
+        if (args.length == 1 && args[0].equals("serve")) {
+            serve();
+            return;
+        }
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: willowyoke drill");
+            System.err.println("usage: willowyoke drill | serve");
             System.exit(2);
         }
         BufferedReader in = new BufferedReader(
@@ -27,4 +33,18 @@
         }
         out.flush();
     }
+
+    private static void serve() throws IOException {
+        Config config;
+        try {
+            config = Config.fromEnvironment(System.getenv());
+        } catch (IllegalArgumentException | SettingsReader.Bad bad) {
+            System.err.println("configuration: " + bad.getMessage());
+            System.exit(2);
+            return;
+        }
+        Node node = new Node(config, Decide::new);
+        Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
+        node.start();
+    }
 }
--- /dev/null
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -0,0 +1,239 @@
+package willowyoke.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.handler.codec.redis.SimpleStringRedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/** Clients' connections: commands in, answers out in the order of the commands. */
+final class ClientListener {
+    /** So many commands unanswered on one connection are enough: it is read on when some are answered. */
+    private static final int PIPELINED = 256;
+    /** A client that does not close its side after ours has ended is cut off after this (ms). */
+    private static final int LINGER = 200;
+    private static final int MOST_WORDS = 16;
+
+    private final Node node;
+    private final int most;
+    private final Set<Connection> open = new LinkedHashSet<>();
+    private Channel listener;
+    private boolean closing;
+
+    ClientListener(Node node, int most) {
+        this.node = node;
+        this.most = most;
+    }
+
+    /** Binds; throws where the address cannot be had. */
+    SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
+        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childHandler(new ChannelInitializer<SocketChannel>() {
+                @Override protected void initChannel(SocketChannel channel) {
+                    Connection c = new Connection(channel);
+                    Resp.codec(channel.pipeline(), MOST_WORDS);
+                    channel.pipeline().addLast(c);
+                    open.add(c);
+                    room();
+                }
+            }).bind(address).sync().channel();
+        return listener.localAddress();
+    }
+
+    /** At the bound the connection idle for longest goes; with none idle, accepting waits for a close. */
+    private void room() {
+        if (open.size() > most) {
+            for (Connection c : open) {
+                if (c.slots.isEmpty() && c.used) {
+                    c.finish();
+                    break;
+                }
+            }
+        }
+        listener.config().setAutoRead(open.size() < most + Math.max(1, most / 16));
+    }
+
+    /** Ends the connections that are between requests, and from now on each after its last answer. */
+    void close() {
+        closing = true;
+        for (Connection c : open.toArray(new Connection[0])) {
+            if (c.slots.isEmpty()) {
+                c.finish();
+            }
+        }
+    }
+
+    void unbind() {
+        listener.close();
+    }
+
+    boolean idle() {
+        return open.isEmpty();
+    }
+
+    /** Reads on where connections were held back for memory. */
+    void resume() {
+        for (Connection c : open) {
+            c.hold();
+        }
+    }
+
+    /** The place of one command's answer on its connection. */
+    static final class Slot {
+        private final Connection connection;
+        private RedisMessage answer;
+        Node.Request request;
+
+        private Slot(Connection connection) {
+            this.connection = connection;
+        }
+
+        /** Gives the one answer; it is written once those before it are. */
+        void answer(RedisMessage message) {
+            answer = message;
+            connection.drain();
+        }
+
+        io.netty.buffer.ByteBufAllocator alloc() {
+            return connection.channel.alloc();
+        }
+    }
+
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final SocketChannel channel;
+        private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+        private boolean used;
+        private boolean deaf;
+        private boolean finished;
+
+        Connection(SocketChannel channel) {
+            this.channel = channel;
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            if (deaf) { // not taken: the client sends it once more elsewhere
+                ReferenceCountUtil.release(msg);
+                return;
+            }
+            if (!used || slots.isEmpty()) {
+                used = true;
+                open.remove(this);
+                open.add(this); // the least recently used first
+            }
+            Slot slot = new Slot(this);
+            slots.add(slot);
+            try {
+                if (msg instanceof ArrayRedisMessage command && command != ArrayRedisMessage.NULL_INSTANCE
+                    && !command.children().isEmpty()) {
+                    command(slot, command);
+                } else {
+                    slot.answer(new ErrorRedisMessage("ERR a command expected"));
+                }
+            } finally {
+                ReferenceCountUtil.release(msg);
+            }
+            hold();
+        }
+
+        private void command(Slot slot, ArrayRedisMessage command) {
+            String verb = Resp.text(command.children().get(0));
+            if ("CALL.GET".equals(verb) || "CALL.POST".equals(verb)) {
+                String wrong = node.take(slot, command);
+                if (wrong != null) {
+                    slot.answer(new ErrorRedisMessage("ERR " + wrong));
+                }
+            } else if ("PING".equalsIgnoreCase(verb)) {
+                slot.answer(new SimpleStringRedisMessage("PONG"));
+            } else {
+                slot.answer(new ErrorRedisMessage("ERR unknown command"));
+            }
+        }
+
+        /** Reading stops while too much is unanswered, unread by the client, or held by all. */
+        private void hold() {
+            boolean read = deaf
+                || slots.size() < PIPELINED && channel.isWritable() && !node.full();
+            if (channel.config().isAutoRead() != read) {
+                channel.config().setAutoRead(read);
+            }
+        }
+
+        private void drain() {
+            while (!slots.isEmpty() && slots.peek().answer != null) {
+                channel.write(slots.poll().answer, channel.voidPromise());
+                node.flushLater(channel);
+            }
+            if (slots.isEmpty() && (closing || deaf)) {
+                finish();
+            }
+            if (!channel.config().isAutoRead()) {
+                hold();
+            }
+        }
+
+        /** Ends our side after what is written, then waits for the client's: a reset could eat an answer. */
+        private void finish() {
+            if (!finished) {
+                finished = true;
+                deaf = true;
+                channel.config().setAutoRead(true);
+                channel.flush();
+                channel.shutdownOutput();
+                channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            node.flush();
+        }
+
+        @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            hold();
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            open.remove(this);
+            while (!slots.isEmpty()) {
+                Slot slot = slots.poll();
+                ReferenceCountUtil.release(slot.answer);
+                if (slot.request != null) {
+                    node.gone(slot.request);
+                }
+            }
+            room();
+            node.flush();
+        }
+
+        /** Malformed input: after what is owed there is no telling where the next command begins. */
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof io.netty.handler.codec.CodecException) {
+                if (!deaf) {
+                    deaf = true;
+                    Slot last = new Slot(this);
+                    slots.add(last);
+                    last.answer(new ErrorRedisMessage("ERR malformed"));
+                }
+                return;
+            }
+            if (!(cause instanceof java.io.IOException)) {
+                node.log("client connection", cause);
+            }
+            channel.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/net/Config.java
@@ -0,0 +1,97 @@
+package willowyoke.net;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.StringJoiner;
+import willowyoke.Gateway;
+import willowyoke.SettingsReader;
+
+/**
+ * What this edge node is told at its start. The times are milliseconds; counter and known are null where the
+ * file has none.
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery,
+    InetSocketAddress counter, long seed, int sockets, JsonNode known, Gateway.Settings settings,
+    double keepAlive, double connectTimeout) {
+
+    static final ObjectMapper JSON = new ObjectMapper();
+    /** Where the settings say nothing of connections. */
+    private static final double KEEP_ALIVE = 15_000;
+    private static final double CONNECT_TIMEOUT = 250;
+    private static final int SOCKETS = 1024;
+
+    /** Reads the file that EDGE_CONFIG names; the other variables win over it. */
+    public static Config fromEnvironment(Map<String, String> env) throws IOException {
+        String file = env.get("EDGE_CONFIG");
+        if (file == null || file.isEmpty()) {
+            throw new IllegalArgumentException("EDGE_CONFIG is not set");
+        }
+        return of(JSON.readTree(new File(file)), env);
+    }
+
+    static Config of(JsonNode root, Map<String, String> env) {
+        Map<String, String> keys = new HashMap<>();
+        flatten("", root.path("settings"), keys);
+        double idle = SettingsReader.number(keys, "limits.keepalive");
+        double connect = SettingsReader.number(keys, "limits.connect_timeout");
+        String counter = root.path("counter").asText("");
+        return new Config(text(env, "EDGE_NAME", root, "name"),
+            address(text(env, "EDGE_LISTEN", root, "listen")),
+            address(text(env, "EDGE_DISCOVERY", root, "discovery")),
+            counter.isEmpty() ? null : address(counter), seed(root.path("seed").asText("0")),
+            root.path("limits").path("sockets").asInt(SOCKETS),
+            root.hasNonNull("known") ? root.get("known") : null, SettingsReader.read(keys),
+            idle > 0 ? idle : KEEP_ALIVE, connect > 0 ? connect : CONNECT_TIMEOUT);
+    }
+
+    private static String text(Map<String, String> env, String variable, JsonNode root, String key) {
+        String value = env.getOrDefault(variable, root.path(key).asText(""));
+        if (value.isEmpty()) {
+            throw new IllegalArgumentException("neither " + variable + " nor '" + key + "' is set");
+        }
+        return value;
+    }
+
+    private static long seed(String hex) {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            return hex.hashCode();
+        }
+    }
+
+    /** Addresses are numbers: there is no DNS. */
+    static InetSocketAddress address(String hostAndPort) {
+        int colon = hostAndPort.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(hostAndPort.substring(0, colon),
+                Integer.parseInt(hostAndPort.substring(colon + 1)));
+        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
+            throw new IllegalArgumentException("address:port expected, found '" + hostAndPort + "'");
+        }
+    }
+
+    /** The settings as the simulator's wire writes them: a path a value, lists of plain values by commas. */
+    private static void flatten(String path, JsonNode node, Map<String, String> keys) {
+        String at = path.isEmpty() ? "" : path + ".";
+        if (node.isObject()) {
+            node.properties().forEach(e -> flatten(at + e.getKey(), e.getValue(), keys));
+        } else if (node.isArray() && node.size() > 0 && node.get(0).isContainerNode()) {
+            keys.put(at + "count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(at + i, node.get(i), keys);
+            }
+        } else if (node.isArray()) {
+            StringJoiner values = new StringJoiner(",");
+            node.forEach(v -> values.add(v.asText()));
+            keys.put(path, values.toString());
+        } else if (!node.isNull()) {
+            keys.put(path, node.asText());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -0,0 +1,204 @@
+package willowyoke.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.concurrent.CompletableFuture;
+import willowyoke.Gateway;
+
+/** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
+final class CounterClient {
+    private static final int LINES = 4;
+    /** Checks (ms): shorter than the 10 s or less after which the counter closes an idle connection. */
+    private static final double CHECK = 1000;
+    /** A connection that owes an answer for longer (ms) is one to a machine that is gone. */
+    private static final double DEAD = 3000;
+    private static final double RECONNECT = 100;
+    private static final int MOST_ELEMENTS = 4;
+    private static final double LONGEST_LIFE = 60_000;
+
+    private final Node node;
+    private final InetSocketAddress address;
+    private final double limit;
+    private final Bootstrap bootstrap;
+    private final Line[] lines = new Line[LINES];
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+
+    /** One call, from the action to its answer; told once the module has had its outcome. */
+    private static final class Call {
+        final long name;
+        final double sent;
+        final boolean ping;
+        boolean written;
+        boolean told;
+
+        Call(long name, double sent, boolean ping) {
+            this.name = name;
+            this.sent = sent;
+            this.ping = ping;
+            told = ping;
+        }
+    }
+
+    CounterClient(Node node, EventLoopGroup group, InetSocketAddress address, double limit) {
+        this.node = node;
+        this.address = address;
+        this.limit = limit;
+        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DEAD / 2);
+        if (address == null) {
+            ready.complete(null);
+        }
+    }
+
+    void start() {
+        if (address != null) {
+            for (int i = 0; i < LINES; i++) {
+                lines[i] = new Line();
+                lines[i].connect();
+            }
+            node.after(CHECK, this::check);
+        }
+    }
+
+    CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    void add(long name, double amount, double keepFor) {
+        Line line = address == null ? null : lines[(int) Math.floorMod(name, (long) LINES)];
+        if (line == null || line.channel == null) {
+            node.later(() -> node.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
+            return;
+        }
+        Call call = new Call(name, node.now(), false);
+        long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
+        line.write(call, "CNT.ADD", Long.toString(name),
+            BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).toPlainString(), Long.toString(life));
+        node.after(limit, () -> tell(call, Gateway.Outcome.TIMEOUT, 0));
+    }
+
+    private void tell(Call call, Gateway.Outcome outcome, double total) {
+        if (!call.told) {
+            call.told = true;
+            node.counted(call.name, outcome, node.now() - call.sent, total);
+        }
+    }
+
+    private void check() {
+        node.after(CHECK, this::check);
+        for (Line line : lines) {
+            if (line.channel != null) {
+                Call oldest = line.calls.peek();
+                if (oldest != null && node.now() - oldest.sent > DEAD) {
+                    line.channel.close();
+                } else if (node.now() - line.usedAt > CHECK) {
+                    line.write(new Call(0, node.now(), true), "PING");
+                }
+            }
+        }
+    }
+
+    private final class Line {
+        private final ArrayDeque<Call> calls = new ArrayDeque<>();
+        private Channel channel;
+        private double usedAt;
+
+        void connect() {
+            ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+                @Override protected void initChannel(SocketChannel channel) {
+                    Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                    channel.pipeline().addLast(new Answers());
+                }
+            }).connect(address);
+            connected.addListener(f -> {
+                if (f.isSuccess()) {
+                    channel = connected.channel();
+                    usedAt = node.now();
+                    for (Line line : lines) {
+                        if (line.channel == null) {
+                            return;
+                        }
+                    }
+                    ready.complete(null);
+                } else {
+                    node.after(RECONNECT, this::connect);
+                }
+            });
+        }
+
+        void write(Call call, String... words) {
+            calls.add(call);
+            usedAt = call.sent;
+            channel.write(Resp.command(channel.alloc(), words))
+                .addListener(f -> call.written = f.isSuccess());
+            node.flushLater(channel);
+        }
+
+        private final class Answers extends ChannelInboundHandlerAdapter {
+            @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+                try {
+                    Call call = calls.poll(); // late or not: each answer belongs to the oldest call
+                    if (call == null) {
+                        ctx.close();
+                        return;
+                    }
+                    if (!call.told) {
+                        answered(call, (RedisMessage) msg);
+                    }
+                } finally {
+                    ReferenceCountUtil.release(msg);
+                }
+            }
+
+            private void answered(Call call, RedisMessage msg) {
+                if (Resp.isValue(msg)) {
+                    try {
+                        tell(call, Gateway.Outcome.OK, Double.parseDouble(Resp.text(msg)));
+                        return;
+                    } catch (NumberFormatException e) {
+                        node.log("counter", e);
+                    }
+                } else if (msg instanceof ErrorRedisMessage) {
+                    tell(call, Gateway.Outcome.FULL, 0); // -BUSY and -ERR alike: nothing was added
+                    return;
+                }
+                tell(call, Gateway.Outcome.TIMEOUT, 0);
+            }
+
+            @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+                node.flush();
+            }
+
+            /** What was written may have been added: the module knows that as a time-out. */
+            @Override public void channelInactive(ChannelHandlerContext ctx) {
+                channel = null;
+                for (Call call = calls.poll(); call != null; call = calls.poll()) {
+                    tell(call, call.written ? Gateway.Outcome.TIMEOUT : Gateway.Outcome.NO_CONNECTION, 0);
+                }
+                node.after(RECONNECT, Line.this::connect);
+                node.flush();
+            }
+
+            @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                if (!(cause instanceof java.io.IOException)) {
+                    node.log("counter", cause);
+                }
+                ctx.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -0,0 +1,228 @@
+package willowyoke.net;
+
+import com.fasterxml.jackson.core.JacksonException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import willowyoke.Gateway;
+
+/** The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. */
+final class Discovery {
+    private static final String PATH = "/catalog/members";
+    /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
+    private static final double SILENT = 5000;
+    private static final double CHECK = 500;
+    private static final int CONNECT = 1000;
+    private static final double BACKOFF = 200;
+    private static final double BACKOFF_MOST = 2000;
+    /** No list is as long as this (bytes); a line that grows past it ends the connection. */
+    private static final int LINE = 8 << 20;
+
+    /** A server as the module knows it, and where it listens. */
+    record Member(Gateway.Server server, InetSocketAddress dial) { }
+
+    private final Node node;
+    private final Bootstrap bootstrap;
+    private final Config config;
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private Channel channel;
+    private long seq = -1;
+    private double heardAt;
+    private double backoff = BACKOFF;
+    private boolean connecting;
+
+    Discovery(Node node, EventLoopGroup group, Config config) {
+        this.node = node;
+        this.config = config;
+        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
+    }
+
+    /** Done when discovery itself has told its list. */
+    CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    /** The list that was known at the start may be old: it serves until discovery answers. */
+    void start(JsonNode known) {
+        if (known != null) {
+            take(known);
+        }
+        connect();
+        check();
+    }
+
+    /** The watch stands or is being renewed all the time. */
+    void subscribe() {
+        if (channel == null && !connecting) {
+            connect();
+        }
+    }
+
+    private void check() {
+        node.after(CHECK, this::check);
+        if (channel != null && node.now() - heardAt > SILENT) {
+            channel.close();
+        }
+    }
+
+    private void connect() {
+        if (connecting || channel != null) {
+            return;
+        }
+        connecting = true;
+        bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel c) {
+                c.pipeline().addLast(new HttpClientCodec(), new Lines());
+            }
+        }).connect(config.discovery()).addListener(f -> {
+            if (!f.isSuccess()) {
+                connecting = false;
+                again();
+            }
+        });
+    }
+
+    private void again() {
+        node.after(backoff, this::connect);
+        backoff = Math.min(2 * backoff, BACKOFF_MOST);
+        node.discoveryFailed();
+        node.flush();
+    }
+
+    /** Takes a list or a change of it; false where it cannot be understood. */
+    private boolean take(JsonNode told) {
+        if (!told.path("hosts").isArray()) {
+            return false;
+        }
+        List<Member> members = new ArrayList<>();
+        for (JsonNode h : told.get("hosts")) {
+            try {
+                members.add(member(h));
+            } catch (IllegalArgumentException e) {
+                node.log("discovery", e); // the others are of use
+            }
+        }
+        seq = told.path("seq").asLong(seq);
+        node.listed(members, told.path("whole").asBoolean());
+        return true;
+    }
+
+    private static Member member(JsonNode h) {
+        Gateway.State state = switch (h.path("health").asText()) {
+            case "active" -> Gateway.State.UP;
+            case "left" -> Gateway.State.GONE;
+            default -> Gateway.State.DRAINING; // leaving, or a word to come: nothing new is the safe reading
+        };
+        String dial = h.path("dial").asText("");
+        return new Member(new Gateway.Server(h.path("host").asText(), h.path("block").asInt(),
+            h.path("site").asText(), state, h.path("class").asText(), h.path("born_ms").asDouble(),
+            h.path("share").asDouble(1)),
+            state == Gateway.State.GONE && dial.isEmpty() ? null : Config.address(dial));
+    }
+
+    private final class Lines extends SimpleChannelInboundHandler<HttpObject> {
+        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private boolean watching;
+        private boolean good;
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            connecting = false;
+            channel = ctx.channel();
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            heardAt = node.now();
+            watching = seq >= 0;
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                watching ? PATH + "?follow=1&since=" + seq : PATH);
+            InetSocketAddress at = config.discovery();
+            request.headers().set(HttpHeaderNames.HOST, at.getHostString() + ":" + at.getPort());
+            ctx.writeAndFlush(request);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
+            heardAt = node.now();
+            if (msg instanceof HttpResponse response) {
+                good = response.status().code() == 200;
+            }
+            if (msg instanceof HttpContent content && good) {
+                ByteBuf in = content.content();
+                while (in.isReadable()) {
+                    int end = in.bytesBefore((byte) '\n');
+                    in.readBytes(line, end < 0 ? in.readableBytes() : end);
+                    if (end >= 0) {
+                        in.skipBytes(1);
+                        line();
+                    } else if (line.size() > LINE) {
+                        ctx.close();
+                    }
+                }
+            }
+            if (msg instanceof LastHttpContent) {
+                if (good && !watching && line.size() > 0) {
+                    line();
+                }
+                if (good && !watching && seq >= 0) {
+                    ask(ctx); // the list is here; the watch goes on from it
+                } else {
+                    ctx.close();
+                }
+            }
+        }
+
+        private void line() throws IOException {
+            byte[] text = line.toByteArray();
+            line.reset();
+            if (new String(text, java.nio.charset.StandardCharsets.UTF_8).isBlank()) {
+                backoff = BACKOFF;
+                ready.complete(null); // nothing has changed
+                return;
+            }
+            if (take(Config.JSON.readTree(text))) {
+                backoff = BACKOFF;
+                ready.complete(null);
+            }
+        }
+
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            node.flush();
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            channel = null;
+            again();
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof IOException) || cause instanceof JacksonException) {
+                node.log("discovery", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -0,0 +1,397 @@
+package willowyoke.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import willowyoke.Gateway;
+
+/**
+ * Connections to app servers, and the attempts and probes on them. A connection carries one request at a
+ * time: answers come in order, so a slow one would hold up those behind it, and giving it up end them all.
+ */
+final class ServerPool {
+    static final double[] NO_LOAD = new double[0];
+    /** Part of the servers' idle limit after which a connection is retired: a race would be a reset. */
+    private static final double RETIRE = 0.4;
+    private static final double SWEEP = 500;
+    private static final double PROBE_WITHIN = 250;
+    private static final int MOST_ELEMENTS = 16;
+    /** The reports' names for what the settings call otherwise. */
+    private static final Map<String, String> FIELDS = Map.of("inflight", "outstanding", "queue", "backlog",
+        "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
+
+    /** What is out on a connection: an attempt of a request, or a probe. */
+    static class Attempt {
+        final Node.Request request;
+        final int number;
+        final String server;
+        final double sent;
+        boolean done;
+        private Link link;
+
+        Attempt(Node.Request request, int number, String server, double sent) {
+            this.request = request;
+            this.number = number;
+            this.server = server;
+            this.sent = sent;
+        }
+    }
+
+    /** A server as the list has it, with its connections. */
+    private static final class Target {
+        final InetSocketAddress dial;
+        final ArrayDeque<Link> idle = new ArrayDeque<>();
+        final Set<Link> links = new LinkedHashSet<>();
+        final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
+        int connecting;
+        boolean up;
+
+        Target(InetSocketAddress dial) {
+            this.dial = dial;
+        }
+    }
+
+    private final Node node;
+    private final Bootstrap bootstrap;
+    private final Config config;
+    private final int most;
+    private final Map<String, Target> targets = new HashMap<>();
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private int open;
+
+    ServerPool(Node node, EventLoopGroup group, Config config, int most) {
+        this.node = node;
+        this.config = config;
+        this.most = most;
+        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout());
+    }
+
+    /** Done when every server of the first list has had its connection come up or fail. */
+    CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    // ---- the list ----
+
+    void listed(List<Discovery.Member> members, boolean whole) {
+        if (whole) {
+            Set<String> kept = new HashSet<>();
+            members.forEach(m -> kept.add(m.server().id()));
+            for (String id : targets.keySet().toArray(new String[0])) {
+                if (!kept.contains(id)) {
+                    leave(targets.remove(id));
+                }
+            }
+        }
+        for (Discovery.Member m : members) {
+            String id = m.server().id();
+            Target old = targets.get(id);
+            if (m.server().state() == Gateway.State.GONE) {
+                leave(targets.remove(id));
+                continue;
+            }
+            Target t = old;
+            if (old == null || !old.dial.equals(m.dial())) {
+                leave(old);
+                t = new Target(m.dial());
+                targets.put(id, t);
+            }
+            t.up = m.server().state() == Gateway.State.UP;
+            if (!t.up) {
+                leave(t);
+            } else if (t.links.isEmpty() && t.connecting == 0) {
+                connect(t); // so that the first request need not wait for one
+            }
+        }
+        isReady();
+    }
+
+    /** Nothing new goes to a server that drains, is gone or has moved; what is out there may end. */
+    private void leave(Target t) {
+        if (t == null) {
+            return;
+        }
+        t.up = false;
+        for (Link link : t.idle.toArray(new Link[0])) {
+            link.channel.close();
+        }
+        while (!t.waiting.isEmpty()) {
+            Attempt a = t.waiting.poll();
+            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+        }
+    }
+
+    void start() {
+        node.after(SWEEP, this::sweep);
+    }
+
+    private void sweep() {
+        node.after(SWEEP, this::sweep);
+        double before = node.now() - config.keepAlive() * RETIRE;
+        for (Target t : targets.values()) {
+            while (!t.idle.isEmpty() && t.idle.peek().usedAt < before) {
+                t.idle.poll().channel.close();
+            }
+        }
+    }
+
+    private void isReady() {
+        if (!ready.isDone() && !targets.isEmpty()
+            && targets.values().stream().allMatch(t -> t.connecting == 0)) {
+            ready.complete(null);
+        }
+    }
+
+    // ---- attempts ----
+
+    void send(Attempt a) {
+        Target t = targets.get(a.server);
+        if (t == null || !t.up) {
+            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            return;
+        }
+        for (Link link = t.idle.pollLast(); link != null; link = t.idle.pollLast()) {
+            if (link.channel.isActive()) {
+                link.write(a);
+                return;
+            }
+        }
+        if (open >= most && !spare()) {
+            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            return;
+        }
+        t.waiting.add(a);
+        connect(t);
+    }
+
+    void probe(String server) {
+        Attempt a = new Attempt(null, 0, server, node.now());
+        node.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
+        send(a);
+    }
+
+    /** Stops waiting for an attempt. One that was not written whole cannot have run. */
+    void giveUp(Attempt a, Gateway.Outcome outcome) {
+        if (a.done) {
+            return;
+        }
+        Link link = a.link;
+        boolean unsent = link == null || !link.written;
+        end(a, unsent && outcome == Gateway.Outcome.TIMEOUT ? Gateway.Outcome.NO_CONNECTION : outcome, null,
+            NO_LOAD);
+        if (link == null) {
+            Target t = targets.get(a.server);
+            if (t != null) {
+                t.waiting.remove(a);
+            }
+        } else {
+            link.current = null;
+            link.channel.close(); // its answer is still owed on it: never to be used again
+        }
+    }
+
+    private void end(Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
+        if (a.done) {
+            return;
+        }
+        a.done = true;
+        if (a.request == null) {
+            node.probed(a.server, outcome, node.now() - a.sent, load);
+        } else {
+            node.attemptEnded(a, outcome, value, load);
+        }
+    }
+
+    // ---- connections ----
+
+    /** At the bound an idle connection of another server makes room. */
+    private boolean spare() {
+        for (Target t : targets.values()) {
+            if (!t.idle.isEmpty()) {
+                t.idle.poll().channel.close();
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void connect(Target t) {
+        Link link = new Link(t);
+        t.connecting++;
+        open++;
+        ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel channel) {
+                link.channel = channel;
+                Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                channel.pipeline().addLast(link);
+            }
+        }).connect(t.dial);
+        connected.addListener(f -> {
+            t.connecting--;
+            if (!f.isSuccess()) {
+                open--;
+                // every attempt that waits began a connection: one too few now, and the oldest goes without
+                if (t.waiting.size() > t.connecting) {
+                    end(t.waiting.poll(), Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+                }
+            } else if (!t.up) {
+                t.links.add(link);
+                link.channel.close();
+            } else {
+                t.links.add(link);
+                link.free();
+            }
+            isReady();
+            node.flush();
+        });
+    }
+
+    private final class Link extends ChannelInboundHandlerAdapter {
+        private final Target target;
+        private Channel channel;
+        private Attempt current;
+        private boolean written;
+        private double usedAt;
+
+        Link(Target target) {
+            this.target = target;
+        }
+
+        void write(Attempt a) {
+            current = a;
+            a.link = this;
+            written = false;
+            ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
+                : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
+            channel.write(command).addListener(f -> {
+                if (current == a) {
+                    written = f.isSuccess();
+                }
+            });
+            node.flushLater(channel);
+        }
+
+        /** Ready for the next request: the one that has waited longest, if there is one. */
+        void free() {
+            current = null;
+            usedAt = node.now();
+            Attempt next = target.up ? target.waiting.poll() : null;
+            if (next != null) {
+                write(next);
+            } else if (target.up) {
+                target.idle.addLast(this);
+            } else {
+                channel.close();
+            }
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            try {
+                Attempt a = current;
+                if (a == null) {
+                    channel.close(); // nothing was asked
+                    return;
+                }
+                answered(a, (RedisMessage) msg);
+                if (current == a) {
+                    free();
+                }
+            } finally {
+                ReferenceCountUtil.release(msg);
+            }
+        }
+
+        private void answered(Attempt a, RedisMessage msg) {
+            if (msg instanceof ArrayRedisMessage array && !array.isNull() && !array.children().isEmpty()
+                && Resp.isValue(array.children().get(0)) && a.request != null) {
+                List<RedisMessage> parts = array.children();
+                end(a, Gateway.Outcome.OK, parts.get(0),
+                    parts.size() > 2 ? load(Resp.text(parts.get(2))) : NO_LOAD);
+            } else if (msg instanceof ErrorRedisMessage error) {
+                String text = error.content();
+                boolean busy = text.startsWith("BUSY");
+                if (!busy && !text.startsWith("ERR")) {
+                    node.log("app server", new IllegalStateException(text));
+                }
+                int space = text.lastIndexOf(' ');
+                end(a, busy ? Gateway.Outcome.FULL : Gateway.Outcome.ERROR, null,
+                    text.indexOf('=', space) > 0 ? load(text.substring(space + 1)) : NO_LOAD);
+            } else if (a.request == null && Resp.isValue(msg)) {
+                end(a, Gateway.Outcome.OK, null, load(Resp.text(msg)));
+            } else {
+                end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
+            }
+        }
+
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            node.flush();
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            open--;
+            target.idle.remove(this);
+            target.links.remove(this);
+            Attempt a = current;
+            current = null;
+            if (a != null) {
+                end(a, written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+            }
+            node.flush();
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!(cause instanceof java.io.IOException)) {
+                node.log("app server connection", cause);
+            }
+            channel.close();
+        }
+    }
+
+    /** The values in the order of the settings' fields; what is not told is not a number. */
+    private double[] load(String report) {
+        List<String> fields = config.settings().loadFields();
+        if (report == null || fields.isEmpty()) {
+            return NO_LOAD;
+        }
+        double[] values = new double[fields.size()];
+        Arrays.fill(values, Double.NaN);
+        for (String pair : report.split(",")) {
+            int eq = pair.indexOf('=');
+            if (eq > 0) {
+                String name = pair.substring(0, eq);
+                int i = fields.indexOf(name);
+                i = i < 0 ? fields.indexOf(FIELDS.getOrDefault(name, name)) : i;
+                try {
+                    if (i >= 0) {
+                        values[i] = Double.parseDouble(pair.substring(eq + 1));
+                    }
+                } catch (NumberFormatException e) {
+                    values[i] = Double.NaN;
+                }
+            }
+        }
+        return values;
+    }
+}
