Test the real node over loopback sockets: outcomes, order, malformed input, drains, late counter answers

Each case of the protocol that could end in a crash, a hang or a broken rule has a test with peers on ephemeral loopback ports and a scripted module. Found by them: amounts went to the counter as '1.0'; now '1'.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -87,7 +87,8 @@
         Call call = new Call(name, node.now(), false);
         long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
         line.write(call, "CNT.ADD", Long.toString(name),
-            BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).toPlainString(), Long.toString(life));
+            BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString(),
+            Long.toString(life));
         node.after(limit, () -> tell(call, Gateway.Outcome.TIMEOUT, 0));
     }
 
--- /dev/null
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -0,0 +1,489 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowyoke.Gateway;
+
+/** The real edge node between peers on loopback sockets, with a scripted module for the decisions. */
+@Timeout(30)
+class NodeTest {
+    private static final String CUSTOMER = "00000000b4d65521";
+
+    /** Notes what it is told and acts by the class of a request: most go to server s0. */
+    private final class Script implements Gateway.Events {
+        Gateway.Actions act;
+
+        @Override public void servers(double now, List<Gateway.Server> list, boolean whole) {
+            StringBuilder text = new StringBuilder(whole ? "whole" : "changes");
+            list.forEach(s -> text.append(' ').append(s.id()).append(' ').append(s.state()));
+            told.add(text.toString());
+        }
+
+        @Override public void discoveryFailed(double now) {
+            told.add("discovery failed");
+        }
+
+        @Override public void arrived(double now, Gateway.Request r) {
+            told.add("arrived " + r.id() + " " + r.type() + " " + r.plan() + " " + r.customer() + " "
+                + r.units()
+                + " " + r.spread() + " " + r.first() + " " + r.again());
+            switch (r.type()) {
+                case "refuse" -> act.refuse(r.id(), 1500);
+                case "fail" -> act.fail(r.id());
+                case "throw" -> throw new IllegalStateException("on purpose");
+                case "hold" -> { }
+                case "count" -> {
+                    act.count(77, -2.5, 4000);
+                    act.count(77, 1, 4000);
+                }
+                case "probe" -> act.probe("s0");
+                case "cancel" -> {
+                    act.send(r.id(), "s0", 0);
+                    act.timer(300, r.id());
+                }
+                default -> act.send(r.id(), "s0", 0);
+            }
+        }
+
+        @Override public void firstAnswer(double now, long id, int attempt) { }
+
+        @Override public void ended(double now, long id, int attempt, Gateway.Outcome outcome, double took,
+            boolean over, int trueUnits, double[] load) {
+            told.add("ended " + id + " " + attempt + " " + outcome + " " + over);
+            if (!over) {
+                act.fail(id);
+            }
+        }
+
+        @Override public void gone(double now, long id) {
+            told.add("gone " + id);
+        }
+
+        @Override public void timer(double now, long token) {
+            act.cancel(token, 0);
+        }
+
+        @Override public void probed(double now, String server, Gateway.Outcome outcome, double took,
+            double[] load) {
+            told.add("probed " + server + " " + outcome + " " + java.util.Arrays.toString(load));
+        }
+
+        @Override public void counted(double now, long name, Gateway.Outcome outcome, double took,
+            double total) {
+            told.add("counted " + name + " " + outcome + " " + total);
+        }
+    }
+
+    private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Peer app;
+    private Peer discovery;
+    private Peer counter;
+    private Peer.Line watch;
+    private Peer.Line server;
+    private Node node;
+    private boolean drained;
+    private int sockets = 256;
+    private int keepAlive = 15_000;
+
+    private static String entry(String id, String dial, String health) {
+        return "{\"host\":\"" + id + "\",\"dial\":\"" + dial
+            + "\",\"site\":\"a\",\"class\":\"m\",\"block\":3,"
+            + "\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    private static String list(int seq, boolean whole, String... entries) {
+        return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", entries) + "]}";
+    }
+
+    private void push(String line) throws IOException {
+        watch.write(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    private void answerWatch() throws Exception {
+        watch = discovery.accept();
+        assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", watch.line());
+        while (!watch.line().isEmpty()) {
+            assertTrue(watch.socket.isConnected());
+        }
+        watch.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        push("");
+    }
+
+    @BeforeEach void peers() throws IOException {
+        app = new Peer();
+        discovery = new Peer();
+        counter = new Peer();
+        open.addAll(List.of(app, discovery, counter));
+    }
+
+    private void start() throws Exception {
+        String json = """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+             "limits":{"sockets":%d},"counter":"%s","known":%s,
+             "settings":{"rank":0,"group_size":2,"feedback":{"fields":["utilization","outstanding"]},
+              "family_info":{"shared_counter":true,"count_limit":80},
+              "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
+              "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
+              "tariffs":[{"name":"p","per_second":8,"depth":8}]}}""".formatted(discovery.address(), sockets,
+            counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
+        Script script = new Script();
+        node = new Node(Config.of(Config.JSON.readTree(json), Map.of()), (settings, seed, now, actions) -> {
+            script.act = actions;
+            assertEquals(2, settings.nodes());
+            assertEquals(List.of("utilization", "outstanding"), settings.loadFields());
+            return script;
+        });
+        Thread watching = new Thread(() -> {
+            try {
+                answerWatch();
+            } catch (Exception e) {
+                told.add("watch: " + e);
+            }
+        });
+        watching.start();
+        node.start();
+        watching.join();
+        server = app.accept(); // the connection made ahead
+        expect("whole s0 UP");
+    }
+
+    @AfterEach void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        if (node != null && !drained) {
+            node.drain();
+        }
+    }
+
+    private Peer.Line client() throws IOException {
+        Peer.Line line = Peer.Line.to(((InetSocketAddress) node.address()).getPort());
+        open.add(line);
+        return line;
+    }
+
+    private static void get(Peer.Line client, String id, String type, int wait) throws IOException {
+        client.command("CALL.GET", CUSTOMER, id, "c=" + type + ",t=p,d=" + wait
+            + ",units=2,spread=3,first=1");
+    }
+
+    /** The next thing told to the module. */
+    private void expect(String text) throws InterruptedException {
+        assertEquals(text, told.poll(10, TimeUnit.SECONDS));
+    }
+
+    private void arrived(int id, String type) throws InterruptedException {
+        expect("arrived " + id + " " + type + " p " + CUSTOMER + " 2 3 1 false");
+    }
+
+    @Test void aCallGoesOnUnchangedButForTheTimeLeftAndItsValueComesBack() throws Exception {
+        start();
+        Peer.Line client = client();
+        client.command("PING");
+        assertEquals(List.of("+PONG"), client.message());
+        String body = "x".repeat(64 * 1024);
+        client.command("CALL.POST", CUSTOMER, "9b1f",
+            "c=read,t=p,d=900,k=5c0f,units=2,spread=3,first=1,r=1", body);
+        expect("arrived 1 read p " + CUSTOMER + " 2 3 1 true");
+        List<String> sent = server.message();
+        assertEquals(List.of("CALL.POST", CUSTOMER, "9b1f"), sent.subList(0, 3));
+        assertTrue(sent.get(3).matches("c=read,t=p,d=(8[0-9][0-9]),k=5c0f,units=2,spread=3,first=1,r=1"),
+            sent.get(3));
+        assertEquals(body, sent.get(4));
+        String value = "\r\n$5".repeat(13_000);
+        server.value(value);
+        assertEquals(List.of(value), client.message());
+        expect("ended 1 0 OK true");
+    }
+
+    /** Answers keep the order of the commands, whichever app server is quicker. */
+    @Test void pipelinedCallsAreAnsweredInOrder() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 900);
+        assertEquals("01", server.message().get(2));
+        get(client, "02", "refuse", 900);
+        get(client, "03", "read", 900);
+        Peer.Line second = app.accept(); // one request a connection at a time
+        assertEquals("03", second.message().get(2));
+        second.value("three");
+        server.value("one");
+        assertEquals(List.of("one"), client.message());
+        assertEquals(List.of("-BUSY 1500"), client.message());
+        assertEquals(List.of("three"), client.message());
+    }
+
+    @Test void commandsInPiecesAreTakenWhenWhole() throws Exception {
+        start();
+        Peer.Line client = client();
+        String whole = "*1\r\n$4\r\nPING\r\n*4\r\n$8\r\nCALL.GET\r\n$2\r\nab\r\n$2"
+            + "\r\n01\r\n$19\r\nc=refuse,t=p,d=500.\r\n";
+        client.socket.setTcpNoDelay(true);
+        for (char c : whole.toCharArray()) {
+            client.write(String.valueOf(c));
+        }
+        assertEquals(List.of("+PONG"), client.message());
+        assertEquals(List.of("-BUSY 1500"), client.message());
+    }
+
+    /** Guards against crashes, hangs and unbounded buffers: -ERR, and a broken frame also closes. */
+    @Test void malformedInputGetsAnError() throws Exception {
+        start();
+        Peer.Line client = client();
+        for (String[] words : new String[][] {{"GET", "x"}, {"CALL.GET"}, {"CALL.GET", "a", "b",
+            "c=read,t=p"},
+            {"CALL.GET", "a", "b", "c=read,t=p,d=x"}, {"CALL.GET", "a", "b", "c=read,t=p,d=-1"},
+            {"CALL.GET", "a", "b", "c=read,t=p,d=NaN"}, {"CALL.GET", "a", "b", "d"}, {"CALL.GET", "", "b",
+                "d=1"},
+            {"CALL.GET", "a", "b", "c=read,t=p,d=9,units=-1"}, {"CALL.GET", "a", "b", "c", "d", "e"}}) {
+            client.command(words);
+            assertTrue(client.message().get(0).startsWith("-ERR "));
+        }
+        client.write("*4\r\n$8\r\nCALL.GET\r\n$-1\r\n*1\r\n+x\r\n:5\r\n");
+        assertTrue(client.message().get(0).startsWith("-ERR "));
+        for (String broken : new String[] {"GET / HTTP/1.1\r\n\r\n", "*1\r\n$536870000\r\n", "*1\r\n$x\r\n",
+            "*2000000000\r\n", "*1\r\n$70000\r\n", "*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n$1\r\na\r\n",
+                "$3\r\nabcde"}) {
+            Peer.Line other = client();
+            other.write(broken);
+            assertTrue(other.message().get(0).startsWith("-ERR "), broken);
+            assertTrue(other.ended(), broken);
+        }
+        get(client, "01", "refuse", 900);
+        assertEquals(List.of("-BUSY 1500"), client.message());
+    }
+
+    @Test void aClientThatClosesIsGoneAndItsAttemptIsTimedOutLater() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 300);
+        arrived(1, "read");
+        server.message();
+        client.close();
+        expect("gone 1");
+        expect("ended 1 0 TIMEOUT true");
+        assertTrue(server.ended());
+    }
+
+    /** The protocol's table of outcomes; a break after the last byte may have run, one before has not. */
+    @Test void eachWayToEndHasItsOutcome() throws Exception {
+        start();
+        Peer.Line client = client();
+        String[][] cases = {{"-ERR failed\r\n", "ERROR"}, {"-BUSY\r\n", "FULL"}, {"*-1\r\n", "ERROR"},
+            {"*3\r\n$-1\r\n$-1\r\n$-1\r\n", "ERROR"}};
+        int id = 0;
+        for (String[] each : cases) {
+            get(client, "0" + ++id, "read", 900);
+            arrived(id, "read");
+            server.message();
+            server.write(each[0]);
+            expect("ended " + id + " 0 " + each[1] + " false");
+            assertEquals(List.of("-ERR failed"), client.message());
+        }
+        get(client, "05", "read", 900);
+        arrived(5, "read");
+        server.message();
+        server.close();
+        expect("ended 5 0 RESET false");
+        app.close();
+        get(client, "06", "read", 900);
+        arrived(6, "read");
+        expect("ended 6 0 NO_CONNECTION false");
+    }
+
+    /** A late answer to an attempt that was given up must not be taken for the next one's. */
+    @Test void aGivenUpAttemptEndsItsConnection() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 200);
+        arrived(1, "read");
+        server.message();
+        expect("ended 1 0 TIMEOUT false");
+        assertEquals(List.of("-ERR failed"), client.message());
+        assertTrue(server.ended());
+        get(client, "02", "cancel", 900);
+        arrived(2, "cancel");
+        Peer.Line second = app.accept();
+        second.message();
+        expect("ended 2 0 CANCELLED false");
+        assertTrue(second.ended());
+    }
+
+    /** The last word is the node's where the module has none: each request gets one answer in time. */
+    @Test void aHeldOrFailedRequestIsAnswered() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "hold", 200);
+        arrived(1, "hold");
+        assertEquals(List.of("-ERR failed"), client.message());
+        expect("gone 1");
+        get(client, "02", "throw", 900); // an exception fails one request and nothing else
+        arrived(2, "throw");
+        assertEquals(List.of("-ERR failed"), client.message());
+        expect("gone 2");
+        get(client, "03", "fail", 900);
+        assertEquals(List.of("-ERR failed"), client.message());
+    }
+
+    @Test void anIdleConnectionIsRetiredBeforeTheServerEndsIt() throws Exception {
+        keepAlive = 1000;
+        start();
+        assertTrue(server.ended());
+        Peer.Line client = client();
+        get(client, "01", "read", 900);
+        Peer.Line second = app.accept();
+        second.message();
+        second.value("v");
+        assertEquals(List.of("v"), client.message());
+    }
+
+    @Test void probesAskForTheLoadInTheSettingsOrder() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "probe", 900);
+        arrived(1, "probe");
+        assertEquals(List.of("INFO", "load"), server.message());
+        server.write("$26\r\ninflight=7,x=1,util=0.6100\r\n");
+        expect("probed s0 OK [0.61, 7.0]");
+    }
+
+    /** Counter calls end in time as 'may have been added', and a late answer must not shift onto the next. */
+    @Test void lateCounterAnswersStayWithTheirCalls() throws Exception {
+        start();
+        Peer.Line[] lines = new Peer.Line[4];
+        BlockingQueue<Peer.Line> called = new LinkedBlockingQueue<>();
+        for (int i = 0; i < lines.length; i++) {
+            Peer.Line line = counter.accept();
+            Thread reading = new Thread(() -> {
+                try {
+                    List<String> words = line.message();
+                    while (words.get(0).equals("PING")) {
+                        line.write("+PONG\r\n");
+                        words = line.message();
+                    }
+                    assertEquals(List.of("CNT.ADD", "77", "-2.5", "4000"), words);
+                    called.add(line);
+                } catch (IOException closed) {
+                    // one of those that no call came on
+                }
+            });
+            reading.setDaemon(true);
+            reading.start();
+        }
+        Peer.Line client = client();
+        get(client, "01", "count", 900);
+        arrived(1, "count");
+        expect("counted 77 TIMEOUT 0.0");
+        expect("counted 77 TIMEOUT 0.0");
+        Peer.Line line = called.poll(10, TimeUnit.SECONDS);
+        assertNotNull(line);
+        assertEquals(List.of("CNT.ADD", "77", "1", "4000"), line.message());
+        get(client, "02", "count", 900);
+        arrived(2, "count");
+        line.message();
+        line.message();
+        line.write("$2\r\n-1\r\n$2\r\n-2\r\n$3\r\n1.5\r\n-BUSY\r\n"); // two late ones, then those in time
+        expect("counted 77 OK 1.5");
+        expect("counted 77 FULL 0.0");
+        get(client, "03", "count", 900);
+        arrived(3, "count");
+        line.message();
+        line.close(); // after it was written: it may have been added
+        expect("counted 77 TIMEOUT 0.0");
+        expect("counted 77 TIMEOUT 0.0");
+    }
+
+    @Test void theWatchTellsDrainsMovesAndLeavers() throws Exception {
+        start();
+        push(list(42, false, entry("s0", app.address(), "leaving")));
+        expect("changes s0 DRAINING");
+        assertTrue(server.ended()); // idle connections go with it
+        try (Peer moved = new Peer()) {
+            push(list(43, false, entry("s0", moved.address(), "active")));
+            expect("changes s0 UP");
+            Peer.Line client = client();
+            get(client, "01", "read", 900);
+            arrived(1, "read");
+            Peer.Line line = moved.accept();
+            assertEquals("01", line.message().get(2));
+            line.value("v");
+            expect("ended 1 0 OK true");
+            push(list(44, false, entry("s0", moved.address(), "left")));
+            expect("changes s0 GONE");
+            get(client, "02", "read", 900);
+            arrived(2, "read");
+            expect("ended 2 0 NO_CONNECTION false");
+            push(list(45, true, entry("s1", app.address(), "active")));
+            expect("whole s1 UP");
+        }
+    }
+
+    /** A watch to a machine that vanished is silent for ever: it is dead once its 2 s lines stop. */
+    @Test void aSilentWatchIsRenewedFromItsVersion() throws Exception {
+        start();
+        assertTrue(watch.ended());
+        Peer.Line next = discovery.accept();
+        assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", next.line());
+    }
+
+    /** At SIGTERM connections still come for a while; what is taken is answered, and then it ends. */
+    @Test void itDrainsBeforeItEnds() throws Exception {
+        start();
+        Peer.Line idle = client();
+        idle.command("PING");
+        idle.message();
+        Peer.Line busy = client();
+        get(busy, "01", "read", 2500);
+        arrived(1, "read");
+        server.message();
+        drained = true;
+        Thread draining = new Thread(node::drain);
+        draining.start();
+        Peer.Line late = client();
+        get(late, "02", "refuse", 900);
+        assertEquals(List.of("-BUSY 1500"), late.message());
+        assertTrue(idle.ended());
+        assertTrue(late.ended());
+        idle.close();
+        late.close();
+        server.value("v");
+        assertEquals(List.of("v"), busy.message());
+        assertTrue(busy.ended());
+        busy.close();
+        draining.join();
+        assertThrows(ConnectException.class, this::client);
+    }
+
+    /** Running out of descriptors would end accepting: an idle client makes room for a new one. */
+    @Test void manyClientsPushOutTheIdlest() throws Exception {
+        sockets = 40;
+        start();
+        List<Peer.Line> lines = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            Peer.Line line = client();
+            line.command("PING");
+            assertEquals(List.of("+PONG"), line.message());
+            lines.add(line);
+        }
+        assertTrue(lines.get(0).ended());
+        get(lines.get(39), "01", "refuse", 900);
+        assertEquals(List.of("-BUSY 1500"), lines.get(39).message());
+    }
+}
