Use one timer for all counter calls

At fault: CounterClient.add left a timer of 80 ms with each call, which fired long after its answer. A small gain at most.

--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -35,6 +35,8 @@
     private final double limit;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
+    private final ArrayDeque<Call> untold = new ArrayDeque<>();
+    private boolean armed;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
 
     /** One call, from the action to its answer; told once the module has had its outcome. */
@@ -89,7 +91,22 @@
         line.write(call, "CNT.ADD", Long.toString(name),
             BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString(),
             Long.toString(life));
-        node.after(limit, () -> tell(call, Gateway.Outcome.TIMEOUT, 0));
+        untold.add(call);
+        if (!armed) {
+            armed = true;
+            node.after(limit, this::expire);
+        }
+    }
+
+    /** One timer for all calls, as all have the same limit: one each would wake the loop for answered ones. */
+    private void expire() {
+        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
+            tell(untold.poll(), Gateway.Outcome.TIMEOUT, 0);
+        }
+        armed = !untold.isEmpty();
+        if (armed) {
+            node.after(untold.peek().sent + limit - node.now(), this::expire);
+        }
     }
 
     private void tell(Call call, Gateway.Outcome outcome, double total) {
