Use native epoll where it loads; know the listener before the first client comes

Cause: the field was set by the starting thread after bind had returned, while the loop already accepted. Now set on the loop. The test fails on the old code and passes on the new.

--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -41,8 +41,13 @@
 
     /** Binds; throws where the address cannot be had. */
     SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
-        listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap().group(group).channel(Transport.listener())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .handler(new ChannelInitializer<ServerSocketChannel>() {
+                @Override protected void initChannel(ServerSocketChannel channel) {
+                    listener = channel; // on the loop: a client may come before bind has returned
+                }
+            })
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
@@ -51,8 +56,7 @@
                     open.add(c);
                     room();
                 }
-            }).bind(address).sync().channel();
-        return listener.localAddress();
+            }).bind(address).sync().channel().localAddress();
     }
 
     /** At the bound the connection idle for longest goes; with none idle, accepting waits for a close. */
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
@@ -59,7 +58,7 @@
         this.node = node;
         this.address = address;
         this.limit = limit;
-        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DEAD / 2);
         if (address == null) {
             ready.complete(null);
@@ -89,8 +88,7 @@
         Call call = new Call(name, node.now(), false);
         long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
         line.write(call, "CNT.ADD", Long.toString(name),
-            BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString(),
-            Long.toString(life));
+            plain(amount), Long.toString(life));
         untold.add(call);
         if (!armed) {
             armed = true;
@@ -98,7 +96,11 @@
         }
     }
 
-    /** One timer for all calls, as all have the same limit: one each would wake the loop for answered ones. */
+    private static String plain(double amount) {
+        return BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString();
+    }
+
+    /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
         while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
             tell(untold.poll(), Gateway.Outcome.TIMEOUT, 0);
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -11,7 +11,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -57,7 +56,7 @@
     Discovery(Node node, EventLoopGroup group, Config config) {
         this.node = node;
         this.config = config;
-        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
@@ -79,7 +77,7 @@
 
     private final Config config;
     private final Maker maker;
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopGroup group = Transport.loop();
     private final long startedNanos = System.nanoTime();
     private final double startedMs = System.currentTimeMillis();
     private final LongObjectHashMap<Request> requests = new LongObjectHashMap<>();
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -84,7 +83,7 @@
         this.node = node;
         this.config = config;
         this.most = most;
-        bootstrap = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout());
     }
 
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -5,9 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -141,7 +143,8 @@
               "family_info":{"shared_counter":true,"count_limit":80},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
-              "tariffs":[{"name":"p","per_second":8,"depth":8}]}}""".formatted(discovery.address(), sockets,
+              "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
+            .formatted(discovery.address(), sockets,
             counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
         Script script = new Script();
         node = new Node(Config.of(Config.JSON.readTree(json), Map.of()), (settings, seed, now, actions) -> {
@@ -471,6 +474,31 @@
         assertThrows(ConnectException.class, this::client);
     }
 
+    /**
+     * A client may come before bind has returned to its caller: the first was then dropped, as the listener
+     * was not known yet. Here bind never returns, as its caller is interrupted.
+     */
+    @Test void aClientMayComeTheMomentItListens() throws Exception {
+        start();
+        InetSocketAddress address;
+        try (ServerSocket free = new ServerSocket(0)) {
+            address = new InetSocketAddress("127.0.0.1", free.getLocalPort());
+        }
+        EventLoopGroup group = Transport.loop();
+        try {
+            Thread.currentThread().interrupt();
+            assertThrows(InterruptedException.class, () -> new ClientListener(node, 8).bind(group, address));
+            group.submit(() -> { }).sync(); // the bind that was left to the loop is done
+            group.submit(() -> { }).sync();
+            try (Peer.Line line = Peer.Line.to(address.getPort())) {
+                line.command("PING");
+                assertEquals(List.of("+PONG"), line.message());
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     /** Running out of descriptors would end accepting: an idle client makes room for a new one. */
     @Test void manyClientsPushOutTheIdlest() throws Exception {
         sockets = 40;
