Guard the node's ends: slow readers, failed timers, idle clients at the bound, no descriptors

Found by reading the code against the protocol; each was checked against the sockets' behaviour. - finish() ended the output while answers were still to be written, so a slow reader lost them: the test fails on the old lines and passes on the new. - The module keeps one timer for all it waits for; an exception in it ended its time. Comes again. - At the bound of clients the same ending connection was chosen again and again. - A connect that fails at once (no descriptor) told the module inside its own send. Told later now. - A module that cannot start, or an address that cannot be had, ends the program with a plain line.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -44,7 +44,12 @@
             return;
         }
         Node node = new Node(config, Decide::new);
+        try {
+            node.start();
+        } catch (IOException bad) {
+            System.err.println("start: " + bad.getMessage());
+            System.exit(1);
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
-        node.start();
     }
 }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -1,6 +1,7 @@
 package willowyoke.net;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -63,7 +64,7 @@
     private void room() {
         if (open.size() > most) {
             for (Connection c : open) {
-                if (c.slots.isEmpty() && c.used) {
+                if (c.slots.isEmpty() && !c.deaf) {
                     c.finish();
                     break;
                 }
@@ -121,7 +122,6 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private boolean used;
         private boolean deaf;
         private boolean finished;
 
@@ -134,8 +134,7 @@
                 ReferenceCountUtil.release(msg);
                 return;
             }
-            if (!used || slots.isEmpty()) {
-                used = true;
+            if (slots.isEmpty()) {
                 open.remove(this);
                 open.add(this); // the least recently used first
             }
@@ -196,9 +195,11 @@
                 finished = true;
                 deaf = true;
                 channel.config().setAutoRead(true);
-                channel.flush();
-                channel.shutdownOutput();
-                channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
+                // behind all that is written: ending the output drops what a slow reader has still to get
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
+                    channel.shutdownOutput();
+                    channel.eventLoop().schedule(() -> channel.close(), LINGER, TimeUnit.MILLISECONDS);
+                });
             }
         }
 
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -45,6 +45,10 @@
     private static final double SERVERS = 0.3;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
+    /** A timer on which the module failed comes once more after this (ms). */
+    private static final double TIMER_AGAIN = 20;
+    /** The log tells so many failures; a flood would only cost. */
+    private static final int LOGGED = 200;
     /** Longest wait (ms) that a client may name: past that its request is malformed. */
     private static final double LONGEST = 3_600_000;
 
@@ -90,6 +94,7 @@
     private Gateway.Events module;
     private long lastId;
     private long held;
+    private int logged;
     private SocketAddress address;
 
     public Node(Config config, Maker maker) {
@@ -108,7 +113,12 @@
     public void start() throws IOException {
         CompletableFuture<Void> ready = new CompletableFuture<>();
         group.execute(() -> {
-            module = maker.start(config.settings(), config.seed(), now(), this);
+            try {
+                module = maker.start(config.settings(), config.seed(), now(), this);
+            } catch (RuntimeException e) {
+                ready.completeExceptionally(e);
+                return;
+            }
             discovery.start(config.known());
             counter.start();
             servers.start();
@@ -180,7 +190,7 @@
     private void guarded(Runnable what) {
         try {
             what.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             log("event", e);
         }
         flush();
@@ -191,13 +201,16 @@
         try {
             event.accept(module);
             return true;
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             log("module", e);
             return false;
         }
     }
 
     void log(String where, Throwable what) {
+        if (++logged > LOGGED) {
+            return;
+        }
         StackTraceElement[] at = what.getStackTrace();
         System.err.println(where + ": " + what + (at.length > 0 ? " at " + at[0] : ""));
     }
@@ -391,7 +404,12 @@
 
     @Override public void timer(double delay, long token) {
         double due = now() + delay;
-        after(delay, () -> tell(m -> m.timer(Math.max(now(), due), token)));
+        after(delay, () -> {
+            // the module keeps one timer for all: lost with an exception, nothing would fall due again
+            if (!tell(m -> m.timer(Math.max(now(), due), token))) {
+                timer(TIMER_AGAIN, token);
+            }
+        });
     }
 
     @Override public void probe(String server) {
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -253,7 +253,8 @@
                 open--;
                 // every attempt that waits began a connection: one too few now, and the oldest goes without
                 if (t.waiting.size() > t.connecting) {
-                    end(t.waiting.poll(), Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
+                    Attempt a = t.waiting.poll(); // later: with no descriptor left it fails inside the send
+                    node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
                 }
             } else if (!t.up) {
                 t.links.add(link);
--- a/src/test/java/willowyoke/net/NodeTest.java
+++ b/src/test/java/willowyoke/net/NodeTest.java
@@ -78,6 +78,9 @@
         }
 
         @Override public void timer(double now, long token) {
+            if (failTimers-- > 0) {
+                throw new IllegalStateException("timer on purpose");
+            }
             act.cancel(token, 0);
         }
 
@@ -103,6 +106,7 @@
     private boolean drained;
     private int sockets = 256;
     private int keepAlive = 15_000;
+    private volatile int failTimers;
 
     private static String entry(String id, String dial, String health) {
         return "{\"host\":\"" + id + "\",\"dial\":\"" + dial
@@ -345,6 +349,18 @@
         assertEquals(List.of("-ERR failed"), client.message());
     }
 
+    /** The module arms one timer for all it waits for: an exception there must not be the end of its time. */
+    @Test void aTimerThatFailsComesAgain() throws Exception {
+        failTimers = 1;
+        start();
+        Peer.Line client = client();
+        get(client, "01", "cancel", 2500);
+        arrived(1, "cancel");
+        server.message();
+        expect("ended 1 0 CANCELLED false");
+        assertEquals(List.of("-ERR failed"), client.message());
+    }
+
     @Test void anIdleConnectionIsRetiredBeforeTheServerEndsIt() throws Exception {
         keepAlive = 1000;
         start();
@@ -499,6 +515,38 @@
         }
     }
 
+    /** What a slow reader has still to get is not cut off when the node ends its connection. */
+    @Test void aLongAnswerIsWholeForASlowReaderAtTheEnd() throws Exception {
+        sockets = 512;
+        start();
+        Peer.Line client = client();
+        String value = "v".repeat(64 * 1024);
+        int calls = 140; // more than the sockets' buffers hold
+        List<Peer.Line> lines = new ArrayList<>();
+        for (int i = 0; i < calls; i++) {
+            get(client, "0" + i, "read", 20_000);
+            lines.add(i == 0 ? server : app.accept());
+            lines.get(i).message();
+        }
+        for (Peer.Line line : lines) {
+            line.value(value);
+        }
+        drained = true;
+        Thread draining = new Thread(node::drain);
+        draining.start();
+        assertThrows(ConnectException.class, () -> {
+            while (draining.isAlive()) {
+                client().close(); // until it listens no more: by then the connections have been ended too
+            }
+        });
+        for (int i = 0; i < calls; i++) {
+            assertEquals(List.of(value), client.message());
+        }
+        assertTrue(client.ended());
+        client.close();
+        draining.join();
+    }
+
     /** Running out of descriptors would end accepting: an idle client makes room for a new one. */
     @Test void manyClientsPushOutTheIdlest() throws Exception {
         sockets = 40;
@@ -510,7 +558,9 @@
             assertEquals(List.of("+PONG"), line.message());
             lines.add(line);
         }
-        assertTrue(lines.get(0).ended());
+        for (int i = 0; i < 40 - 22; i++) { // the cap is 55 in 100 of 40
+            assertTrue(lines.get(i).ended());
+        }
         get(lines.get(39), "01", "refuse", 900);
         assertEquals(List.of("-BUSY 1500"), lines.get(39).message());
     }
