--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -5,16 +5,20 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicReference;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
 
 /** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
+    private static final AtomicReference<Node> RUNNING = new AtomicReference<>();
+
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
     public static void main(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("serve")) {
+            Hangup.caught(Main::reload); // before all else: until then SIGHUP ends the process
             serve();
             return;
         }
@@ -50,6 +54,15 @@
             System.err.println("start: " + bad.getMessage());
             System.exit(1);
         }
+        RUNNING.set(node);
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain"));
     }
+
+    /** Before the node is up its configuration is as good as new. */
+    private static void reload() {
+        Node node = RUNNING.get();
+        if (node != null) {
+            node.reload(() -> Config.again(System.getenv()));
+        }
+    }
 }
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/net/Config.java
@@ -34,6 +34,13 @@
         return of(JSON.readTree(new File(file)), env);
     }
 
+    /** The file as it is now, for a running edge node: the variables are those of its start. */
+    public static Config again(Map<String, String> env) throws IOException {
+        Map<String, String> rest = new HashMap<>(env);
+        rest.remove("EDGE_DISCOVERY");
+        return fromEnvironment(rest);
+    }
+
     static Config of(JsonNode root, Map<String, String> env) {
         Map<String, String> keys = new HashMap<>();
         flatten("", root.path("settings"), keys);
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -30,10 +30,12 @@
     private static final double LONGEST_LIFE = 60_000;
 
     private final Node node;
-    private final InetSocketAddress address;
     private final double limit;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
+    /** The lines to a new address, until each can take over from the old one. */
+    private final Line[] coming = new Line[LINES];
+    private InetSocketAddress address;
     private final ArrayDeque<Call> untold = new ArrayDeque<>();
     private boolean armed;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
@@ -68,19 +70,50 @@
     void start() {
         if (address != null) {
             for (int i = 0; i < LINES; i++) {
-                lines[i] = new Line();
+                lines[i] = new Line(address);
                 lines[i].connect();
             }
             node.after(CHECK, this::check);
         }
     }
 
+    /** A new address: the old lines serve until the new ones are up; what is out may be answered. */
+    void move(InetSocketAddress to) {
+        if (to == null || to.equals(address)) {
+            return;
+        }
+        boolean first = address == null;
+        address = to;
+        if (first) {
+            start();
+            return;
+        }
+        for (int i = 0; i < LINES; i++) {
+            if (coming[i] != null && coming[i].channel != null) {
+                coming[i].channel.close();
+            }
+            coming[i] = new Line(to);
+            coming[i].connect();
+        }
+    }
+
+    /** A name's answers come in the order of its calls: so its line changes only with no call to be told. */
+    private Line line(int i) {
+        Line old = lines[i];
+        if (coming[i] != null && coming[i].channel != null && old.calls.stream().allMatch(c -> c.told)) {
+            lines[i] = coming[i];
+            coming[i] = null;
+            old.end();
+        }
+        return lines[i];
+    }
+
     CompletableFuture<Void> ready() {
         return ready;
     }
 
     void add(long name, double amount, double keepFor) {
-        Line line = address == null ? null : lines[(int) Math.floorMod(name, (long) LINES)];
+        Line line = address == null ? null : line((int) Math.floorMod(name, (long) LINES));
         if (line == null || line.channel == null) {
             node.later(() -> node.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
             return;
@@ -120,7 +153,8 @@
 
     private void check() {
         node.after(CHECK, this::check);
-        for (Line line : lines) {
+        for (int i = 0; i < LINES; i++) {
+            Line line = line(i);
             if (line.channel != null) {
                 Call oldest = line.calls.peek();
                 if (oldest != null && node.now() - oldest.sent > DEAD) {
@@ -133,17 +167,34 @@
     }
 
     private final class Line {
+        private final InetSocketAddress at;
         private final ArrayDeque<Call> calls = new ArrayDeque<>();
         private Channel channel;
         private double usedAt;
+        private boolean ending;
+
+        Line(InetSocketAddress at) {
+            this.at = at;
+        }
+
+        /** Left for a new address: it closes once nothing is owed on it. */
+        void end() {
+            ending = true;
+            if (channel != null && calls.isEmpty()) {
+                channel.close();
+            }
+        }
 
         void connect() {
+            if (at != address) {
+                return; // left meanwhile
+            }
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Resp.codec(channel.pipeline(), MOST_ELEMENTS);
                     channel.pipeline().addLast(new Answers());
                 }
-            }).connect(address);
+            }).connect(at);
             connected.addListener(f -> {
                 if (f.isSuccess()) {
                     channel = connected.channel();
@@ -179,6 +230,9 @@
                     if (!call.told) {
                         answered(call, (RedisMessage) msg);
                     }
+                    if (ending && calls.isEmpty()) {
+                        ctx.close();
+                    }
                 } finally {
                     ReferenceCountUtil.release(msg);
                 }
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -45,8 +45,10 @@
 
     private final Node node;
     private final Bootstrap bootstrap;
-    private final Config config;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    /** Watches at addresses that a new configuration has left: they count until the new one has told. */
+    private final List<Channel> left = new ArrayList<>();
+    private InetSocketAddress address;
     private Channel channel;
     private long seq = -1;
     private double heardAt;
@@ -55,7 +57,7 @@
 
     Discovery(Node node, EventLoopGroup group, Config config) {
         this.node = node;
-        this.config = config;
+        address = config.discovery();
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
@@ -68,7 +70,7 @@
     /** The list that was known at the start may be old: it serves until discovery answers. */
     void start(JsonNode known) {
         if (known != null) {
-            take(known);
+            take(known, true);
         }
         connect();
         check();
@@ -81,6 +83,22 @@
         }
     }
 
+    /** A new address: its versions are its own, so the whole list is fetched; the old watch stays so long. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        seq = -1;
+        backoff = BACKOFF;
+        connecting = false;
+        if (channel != null) {
+            left.add(channel);
+            channel = null;
+        }
+        connect();
+    }
+
     private void check() {
         node.after(CHECK, this::check);
         if (channel != null && node.now() - heardAt > SILENT) {
@@ -93,12 +111,13 @@
             return;
         }
         connecting = true;
+        InetSocketAddress to = address;
         bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel c) {
-                c.pipeline().addLast(new HttpClientCodec(), new Lines());
+                c.pipeline().addLast(new HttpClientCodec(), new Lines(to));
             }
-        }).connect(config.discovery()).addListener(f -> {
-            if (!f.isSuccess()) {
+        }).connect(to).addListener(f -> {
+            if (!f.isSuccess() && to == address) {
                 connecting = false;
                 again();
             }
@@ -113,7 +132,7 @@
     }
 
     /** Takes a list or a change of it; false where it cannot be understood. */
-    private boolean take(JsonNode told) {
+    private boolean take(JsonNode told, boolean current) {
         if (!told.path("hosts").isArray()) {
             return false;
         }
@@ -125,8 +144,13 @@
                 node.log("discovery", e); // the others are of use
             }
         }
-        seq = told.path("seq").asLong(seq);
-        node.listed(members, told.path("whole").asBoolean());
+        boolean whole = told.path("whole").asBoolean();
+        seq = current ? told.path("seq").asLong(seq) : seq;
+        node.listed(members, whole);
+        if (current && whole) {
+            left.forEach(Channel::close);
+            left.clear();
+        }
         return true;
     }
 
@@ -144,11 +168,20 @@
     }
 
     private final class Lines extends SimpleChannelInboundHandler<HttpObject> {
+        private final InetSocketAddress at;
         private final ByteArrayOutputStream line = new ByteArrayOutputStream();
         private boolean watching;
         private boolean good;
 
+        Lines(InetSocketAddress at) {
+            this.at = at;
+        }
+
         @Override public void channelActive(ChannelHandlerContext ctx) {
+            if (at != address) { // left before it came up
+                ctx.close();
+                return;
+            }
             connecting = false;
             channel = ctx.channel();
             ask(ctx);
@@ -159,13 +192,12 @@
             watching = seq >= 0;
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                 watching ? PATH + "?follow=1&since=" + seq : PATH);
-            InetSocketAddress at = config.discovery();
             request.headers().set(HttpHeaderNames.HOST, at.getHostString() + ":" + at.getPort());
             ctx.writeAndFlush(request);
         }
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
-            heardAt = node.now();
+            heardAt = at == address ? node.now() : heardAt;
             if (msg instanceof HttpResponse response) {
                 good = response.status().code() == 200;
             }
@@ -202,7 +234,7 @@
                 ready.complete(null); // nothing has changed
                 return;
             }
-            if (take(Config.JSON.readTree(text))) {
+            if (take(Config.JSON.readTree(text), at == address)) {
                 backoff = BACKOFF;
                 ready.complete(null);
             }
@@ -213,8 +245,11 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
-            channel = null;
-            again();
+            left.remove(ctx.channel());
+            if (ctx.channel() == channel) {
+                channel = null;
+                again();
+            }
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -143,6 +143,24 @@
         }
     }
 
+    /** How the configuration is read again. */
+    public interface Reader {
+        Config read() throws IOException;
+    }
+
+    /** SIGHUP: discovery and counter may have moved. What cannot be read changes nothing. */
+    public void reload(Reader file) {
+        group.execute(() -> guarded(() -> {
+            try {
+                Config told = file.read();
+                discovery.move(told.discovery());
+                counter.move(told.counter());
+            } catch (IOException e) {
+                log("configuration", e);
+            }
+        }));
+    }
+
     SocketAddress address() {
         return address;
     }
--- /dev/null
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -0,0 +1,200 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Timeout;
+import willowyoke.Gateway;
+
+/** A real edge node between peers on loopback sockets, with a scripted module for the decisions. */
+@Timeout(30)
+abstract class NodeFixture {
+    static final String CUSTOMER = "00000000b4d65521";
+
+    /** Notes what it is told and acts by the class of a request: most go to server s0. */
+    final class Script implements Gateway.Events {
+        Gateway.Actions act;
+
+        @Override public void servers(double now, List<Gateway.Server> list, boolean whole) {
+            StringBuilder text = new StringBuilder(whole ? "whole" : "changes");
+            list.forEach(s -> text.append(' ').append(s.id()).append(' ').append(s.state()));
+            told.add(text.toString());
+        }
+
+        @Override public void discoveryFailed(double now) {
+            told.add("discovery failed");
+        }
+
+        @Override public void arrived(double now, Gateway.Request r) {
+            told.add("arrived " + r.id() + " " + r.type() + " " + r.plan() + " " + r.customer() + " "
+                + r.units()
+                + " " + r.spread() + " " + r.first() + " " + r.again());
+            switch (r.type()) {
+                case "refuse" -> act.refuse(r.id(), 1500);
+                case "fail" -> act.fail(r.id());
+                case "throw" -> throw new IllegalStateException("on purpose");
+                case "hold" -> { }
+                case "count" -> {
+                    act.count(77, -2.5, 4000);
+                    act.count(77, 1, 4000);
+                }
+                case "probe" -> act.probe("s0");
+                case "cancel" -> {
+                    act.send(r.id(), "s0", 0);
+                    act.timer(300, r.id());
+                }
+                default -> act.send(r.id(), "s0", 0);
+            }
+        }
+
+        @Override public void firstAnswer(double now, long id, int attempt) { }
+
+        @Override public void ended(double now, long id, int attempt, Gateway.Outcome outcome, double took,
+            boolean over, int trueUnits, double[] load) {
+            told.add("ended " + id + " " + attempt + " " + outcome + " " + over);
+            if (!over) {
+                act.fail(id);
+            }
+        }
+
+        @Override public void gone(double now, long id) {
+            told.add("gone " + id);
+        }
+
+        @Override public void timer(double now, long token) {
+            if (failTimers-- > 0) {
+                throw new IllegalStateException("timer on purpose");
+            }
+            act.cancel(token, 0);
+        }
+
+        @Override public void probed(double now, String server, Gateway.Outcome outcome, double took,
+            double[] load) {
+            told.add("probed " + server + " " + outcome + " " + java.util.Arrays.toString(load));
+        }
+
+        @Override public void counted(double now, long name, Gateway.Outcome outcome, double took,
+            double total) {
+            told.add("counted " + name + " " + outcome + " " + total);
+        }
+    }
+
+    final BlockingQueue<String> told = new LinkedBlockingQueue<>();
+    final List<AutoCloseable> open = new ArrayList<>();
+    Peer app;
+    Peer discovery;
+    Peer counter;
+    Peer.Line watch;
+    Peer.Line server;
+    Node node;
+    boolean drained;
+    int sockets = 256;
+    int keepAlive = 15_000;
+    volatile int failTimers;
+
+    static String entry(String id, String dial, String health) {
+        return "{\"host\":\"" + id + "\",\"dial\":\"" + dial
+            + "\",\"site\":\"a\",\"class\":\"m\",\"block\":3,"
+            + "\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":0}";
+    }
+
+    static String list(int seq, boolean whole, String... entries) {
+        return "{\"seq\":" + seq + ",\"whole\":" + whole + ",\"hosts\":[" + String.join(",", entries) + "]}";
+    }
+
+    void push(String line) throws IOException {
+        watch.write(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+    }
+
+    void answerWatch() throws Exception {
+        watch = discovery.accept();
+        assertEquals("GET /catalog/members?follow=1&since=41 HTTP/1.1", watch.line());
+        while (!watch.line().isEmpty()) {
+            assertTrue(watch.socket.isConnected());
+        }
+        watch.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        push("");
+    }
+
+    @BeforeEach void peers() throws IOException {
+        app = new Peer();
+        discovery = new Peer();
+        counter = new Peer();
+        open.addAll(List.of(app, discovery, counter));
+    }
+
+    String config() {
+        return """
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"%s","seed":"8c1f30d27a5be964",
+             "limits":{"sockets":%d},"counter":"%s","known":%s,
+             "settings":{"rank":0,"group_size":2,"feedback":{"fields":["utilization","outstanding"]},
+              "family_info":{"shared_counter":true,"count_limit":80},
+              "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
+              "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],
+              "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
+            .formatted(discovery.address(), sockets,
+            counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
+    }
+
+    void start() throws Exception {
+        Script script = new Script();
+        Config config = Config.of(Config.JSON.readTree(config()), Map.of());
+        node = new Node(config, (settings, seed, now, actions) -> {
+            script.act = actions;
+            assertEquals(2, settings.nodes());
+            assertEquals(List.of("utilization", "outstanding"), settings.loadFields());
+            return script;
+        });
+        Thread watching = new Thread(() -> {
+            try {
+                answerWatch();
+            } catch (Exception e) {
+                told.add("watch: " + e);
+            }
+        });
+        watching.start();
+        node.start();
+        watching.join();
+        server = app.accept(); // the connection made ahead
+        expect("whole s0 UP");
+    }
+
+    @AfterEach void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        if (node != null && !drained) {
+            node.drain();
+        }
+    }
+
+    Peer.Line client() throws IOException {
+        Peer.Line line = Peer.Line.to(((InetSocketAddress) node.address()).getPort());
+        open.add(line);
+        return line;
+    }
+
+    static void get(Peer.Line client, String id, String type, int wait) throws IOException {
+        client.command("CALL.GET", CUSTOMER, id, "c=" + type + ",t=p,d=" + wait
+            + ",units=2,spread=3,first=1");
+    }
+
+    /** The next thing told to the module. */
+    void expect(String text) throws InterruptedException {
+        assertEquals(text, told.poll(10, TimeUnit.SECONDS));
+    }
+
+    void arrived(int id, String type) throws InterruptedException {
+        expect("arrived " + id + " " + type + " p " + CUSTOMER + " 2 3 1 false");
+    }
+}
--- a/src/test/java/willowyoke/net/Peer.java
+++ b/src/test/java/willowyoke/net/Peer.java
@@ -124,6 +124,11 @@
         return line;
     }
 
+    /** A connection that comes within so many milliseconds, or null. */
+    Line poll(long wait) throws InterruptedException {
+        return accepted.poll(wait, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+
     @Override public void close() throws IOException {
         server.close();
         try {
