--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -332,7 +332,8 @@
         Customer c = call.customer;
         boolean heard = outcome == Gateway.Outcome.OK;
         misses = heard ? 0 : misses + 1;
-        callsFailed |= !heard;
+        // crowded; a connection that breaks tells nothing of that
+        callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT;
         if (heard) {
             counterBackoff = SUBPERIOD;
         } else if (misses >= MISSES && now >= counterSilentUntil) {
@@ -447,7 +448,7 @@
         c.asking = false;
         if (outcome != Gateway.Outcome.OK) {
             // a late call is added all the same, as a crowded counter serves those too; the next add makes up
-            c.uncounted += outcome == Gateway.Outcome.TIMEOUT ? -c.claimed : c.added - c.claimed;
+            c.uncounted += outcome.neverRan ? c.added - c.claimed : -c.claimed;
             c.askAt = nextEdge();
             return;
         }
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -11,11 +11,13 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
 import willowyoke.Gateway;
 
 /** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
@@ -29,6 +31,10 @@
     private static final int MOST_ELEMENTS = 4;
     private static final double LONGEST_LIFE = 60_000;
 
+    /** A total in decimal, no longer than a double can hold. */
+    private static final Pattern NUMBER =
+        Pattern.compile("-?[0-9]{1,18}(\\.[0-9]{1,18})?(e[+-]?[0-9]{1,2})?");
+
     private final Node node;
     private final double limit;
     private final Bootstrap bootstrap;
@@ -45,10 +51,12 @@
         final long name;
         final double sent;
         final boolean ping;
+        final Line line;
         boolean written;
         boolean told;
 
-        Call(long name, double sent, boolean ping) {
+        Call(Line line, long name, double sent, boolean ping) {
+            this.line = line;
             this.name = name;
             this.sent = sent;
             this.ping = ping;
@@ -118,7 +126,7 @@
             node.later(() -> node.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
             return;
         }
-        Call call = new Call(name, node.now(), false);
+        Call call = new Call(line, name, node.now(), false);
         long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
         line.write(call, "CNT.ADD", Long.toString(name),
             plain(amount), Long.toString(life));
@@ -136,7 +144,12 @@
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
         while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
-            tell(untold.poll(), Gateway.Outcome.TIMEOUT, 0);
+            Call call = untold.poll();
+            if (!call.told && call.line.channel != null && call.line.raw.pending != 0) {
+                call.line.spoilt(); // half an answer, and no more of it: what it is of has been added
+                tell(call, Gateway.Outcome.RESET, 0);
+            }
+            tell(call, Gateway.Outcome.TIMEOUT, 0);
         }
         armed = !untold.isEmpty();
         if (armed) {
@@ -160,7 +173,7 @@
                 if (oldest != null && node.now() - oldest.sent > DEAD) {
                     line.channel.close();
                 } else if (node.now() - line.usedAt > CHECK) {
-                    line.write(new Call(0, node.now(), true), "PING");
+                    line.write(new Call(line, 0, node.now(), true), "PING");
                 }
             }
         }
@@ -172,6 +185,8 @@
         private Channel channel;
         private double usedAt;
         private boolean ending;
+        private boolean spoilt;
+        private Resp.Raw raw;
 
         Line(InetSocketAddress at) {
             this.at = at;
@@ -185,13 +200,19 @@
             }
         }
 
+        /** What comes on it can be told apart no more: a new one takes its place at once. */
+        void spoilt() {
+            spoilt = true;
+            channel.close();
+        }
+
         void connect() {
             if (at != address) {
                 return; // left meanwhile
             }
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
-                    Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                    raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
                     channel.pipeline().addLast(new Answers());
                 }
             }).connect(at);
@@ -222,13 +243,14 @@
         private final class Answers extends ChannelInboundHandlerAdapter {
             @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
                 try {
+                    raw.whole((RedisMessage) msg);
                     Call call = calls.poll(); // late or not: each answer belongs to the oldest call
                     if (call == null) {
                         ctx.close();
                         return;
                     }
-                    if (!call.told) {
-                        answered(call, (RedisMessage) msg);
+                    if (!answered(call, (RedisMessage) msg)) {
+                        spoilt();
                     }
                     if (ending && calls.isEmpty()) {
                         ctx.close();
@@ -238,37 +260,46 @@
                 }
             }
 
-            private void answered(Call call, RedisMessage msg) {
-                if (Resp.isValue(msg)) {
-                    try {
-                        tell(call, Gateway.Outcome.OK, Double.parseDouble(Resp.text(msg)));
-                        return;
-                    } catch (NumberFormatException e) {
-                        node.log("counter", e);
-                    }
-                } else if (msg instanceof ErrorRedisMessage) {
-                    tell(call, Gateway.Outcome.FULL, 0); // -BUSY and -ERR alike: nothing was added
-                    return;
+            /**
+             * Tells an answer; false where it is none. The amount was added then, and what comes behind it on
+             * the line cannot be trusted. A total that is not finite would stay in the module's credits.
+             */
+            private boolean answered(Call call, RedisMessage msg) {
+                if (call.ping) {
+                    return msg instanceof SimpleStringRedisMessage;
+                }
+                if (msg instanceof ErrorRedisMessage error
+                    && (error.content().startsWith("BUSY") || error.content().startsWith("ERR"))) {
+                    tell(call, Gateway.Outcome.FULL, 0); // nothing was added
+                    return true;
+                }
+                String total = Resp.isValue(msg) ? Resp.text(msg) : "";
+                if (NUMBER.matcher(total).matches()) {
+                    tell(call, Gateway.Outcome.OK, Double.parseDouble(total));
+                    return true;
                 }
-                tell(call, Gateway.Outcome.TIMEOUT, 0);
+                tell(call, Gateway.Outcome.RESET, 0);
+                return false;
             }
 
             @Override public void channelReadComplete(ChannelHandlerContext ctx) {
                 node.flush();
             }
 
-            /** What was written may have been added: the module knows that as a time-out. */
+            /** What was written may have been added. */
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
                 for (Call call = calls.poll(); call != null; call = calls.poll()) {
-                    tell(call, call.written ? Gateway.Outcome.TIMEOUT : Gateway.Outcome.NO_CONNECTION, 0);
+                    tell(call, call.written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, 0);
                 }
-                node.after(RECONNECT, Line.this::connect);
+                node.after(spoilt ? 0 : RECONNECT, Line.this::connect);
+                spoilt = false;
                 node.flush();
             }
 
             @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                if (!(cause instanceof java.io.IOException)) {
+                spoilt = !(cause instanceof java.io.IOException);
+                if (spoilt) {
                     node.log("counter", cause);
                 }
                 ctx.close();
--- a/src/main/java/willowyoke/net/Resp.java
+++ b/src/main/java/willowyoke/net/Resp.java
@@ -4,14 +4,17 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.redis.AbstractStringRedisMessage;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.BulkStringHeaderRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.IntegerRedisMessage;
 import io.netty.handler.codec.redis.RedisArrayAggregator;
 import io.netty.handler.codec.redis.RedisBulkStringAggregator;
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
@@ -28,10 +31,49 @@
     private Resp() { }
 
     /** Adds the codec: whole messages in, messages out; the largest array told bounds what is kept of one. */
-    static void codec(ChannelPipeline pipeline, int mostElements) {
-        pipeline.addLast(new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE),
-            new Bounds(), new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
+    static Raw codec(ChannelPipeline pipeline, int mostElements) {
+        Raw raw = new Raw();
+        pipeline.addLast(raw,
+            new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE), new Bounds(),
+            new RedisBulkStringAggregator(), new RedisArrayAggregator(mostElements, DEPTH),
             new RedisEncoder());
+        return raw;
+    }
+
+    /** Counts what comes in before it is decoded, as the decoder hides half a message. */
+    static final class Raw extends ChannelInboundHandlerAdapter {
+        /** Bytes that have come and belong to no whole message yet. */
+        long pending;
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            pending += ((ByteBuf) msg).readableBytes();
+            ctx.fireChannelRead(msg);
+        }
+
+        /** A whole message has come; one in another than the shortest form leaves a difference for good. */
+        void whole(RedisMessage message) {
+            pending -= length(message);
+        }
+    }
+
+    /** The bytes of a message in its shortest form. */
+    private static long length(RedisMessage message) {
+        if (message instanceof ArrayRedisMessage array) {
+            return array.isNull() ? 5 : digits(array.children().size()) + 3
+                + array.children().stream().mapToLong(Resp::length).sum();
+        }
+        if (message instanceof FullBulkStringRedisMessage bulk) {
+            int size = bulk.isNull() ? -1 : bulk.content().readableBytes();
+            return size < 0 ? 5 : digits(size) + 5 + size;
+        }
+        if (message instanceof AbstractStringRedisMessage line) { // simple strings and errors
+            return ByteBufUtil.utf8Bytes(line.content()) + 3;
+        }
+        return message instanceof IntegerRedisMessage number ? Long.toString(number.value()).length() + 3 : 0;
+    }
+
+    private static int digits(int size) {
+        return Integer.toString(size).length();
     }
 
     /** Guards against headers that announce gigabytes: the library's own bound is 512 MB a value. */
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -18,6 +18,7 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -34,8 +35,14 @@
     /** Part of the servers' idle limit after which a connection is retired: a race would be a reset. */
     private static final double RETIRE = 0.4;
     private static final double SWEEP = 500;
+    /** The value, the figures on use, the load report. */
+    private static final int PARTS = 3;
     private static final double PROBE_WITHIN = 250;
     private static final int MOST_ELEMENTS = 16;
+    /** An answer that has begun is whole within this (ms), or it will not be. */
+    private static final double WHOLE_WITHIN = 250;
+    /** Rest (ms) of a connection after an answer: what belongs to no request comes right behind one. */
+    private static final double REST = 2;
     /** The reports' names for what the settings call otherwise. */
     private static final Map<String, String> FIELDS = Map.of("inflight", "outstanding", "queue", "backlog",
         "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
@@ -69,6 +76,19 @@
         Target(InetSocketAddress dial) {
             this.dial = dial;
         }
+
+        /** Writes on the connection that was used last, of those that have rested; false where none has. */
+        boolean write(Attempt a, double now) {
+            for (Iterator<Link> it = idle.descendingIterator(); it.hasNext();) {
+                Link link = it.next();
+                if (now - link.usedAt >= REST && link.channel.isActive()) {
+                    it.remove();
+                    link.write(a);
+                    return true;
+                }
+            }
+            return false;
+        }
     }
 
     private final Node node;
@@ -171,11 +191,13 @@
             node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
             return;
         }
-        for (Link link = t.idle.pollLast(); link != null; link = t.idle.pollLast()) {
-            if (link.channel.isActive()) {
-                link.write(a);
-                return;
-            }
+        if (t.write(a, node.now())) {
+            return;
+        }
+        if (!t.idle.isEmpty()) {
+            t.waiting.add(a); // sooner than a new connection would be up
+            node.after(REST, () -> serve(t));
+            return;
         }
         if (open >= most && !spare()) {
             node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
@@ -185,6 +207,16 @@
         connect(t);
     }
 
+    /** The attempt that has waited longest goes first; none is left with no connection to come or to rest. */
+    private void serve(Target t) {
+        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), node.now())) {
+            t.waiting.poll();
+        }
+        if (t.waiting.size() > t.connecting + t.idle.size()) {
+            connect(t);
+        }
+    }
+
     void probe(String server) {
         Attempt a = new Attempt(null, 0, server, node.now());
         node.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
@@ -243,7 +275,7 @@
         ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel channel) {
                 link.channel = channel;
-                Resp.codec(channel.pipeline(), MOST_ELEMENTS);
+                link.raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
                 channel.pipeline().addLast(link);
             }
         }).connect(t.dial);
@@ -252,7 +284,7 @@
             if (!f.isSuccess()) {
                 open--;
                 // every attempt that waits began a connection: one too few now, and the oldest goes without
-                if (t.waiting.size() > t.connecting) {
+                if (t.waiting.size() > t.connecting + t.idle.size()) {
                     Attempt a = t.waiting.poll(); // later: with no descriptor left it fails inside the send
                     node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
                 }
@@ -262,6 +294,8 @@
             } else {
                 t.links.add(link);
                 link.free();
+                link.usedAt -= REST; // nothing has been answered on it
+                serve(t);
             }
             isReady();
             node.flush();
@@ -272,7 +306,10 @@
         private final Target target;
         private Channel channel;
         private Attempt current;
+        private Resp.Raw raw;
         private boolean written;
+        private boolean answered;
+        private boolean begun;
         private double usedAt;
 
         Link(Target target) {
@@ -283,6 +320,7 @@
             current = a;
             a.link = this;
             written = false;
+            begun = false;
             ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
                 : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
             channel.write(command).addListener(f -> {
@@ -293,15 +331,14 @@
             node.flushLater(channel);
         }
 
-        /** Ready for the next request: the one that has waited longest, if there is one. */
+        /** Ready for the next request, after a rest. */
         void free() {
-            current = null;
             usedAt = node.now();
-            Attempt next = target.up ? target.waiting.poll() : null;
-            if (next != null) {
-                write(next);
-            } else if (target.up) {
+            if (target.up) {
                 target.idle.addLast(this);
+                if (!target.waiting.isEmpty()) {
+                    node.after(REST, () -> serve(target));
+                }
             } else {
                 channel.close();
             }
@@ -309,31 +346,34 @@
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             try {
+                raw.whole((RedisMessage) msg);
                 Attempt a = current;
-                if (a == null) {
-                    channel.close(); // nothing was asked
+                current = null;
+                if (a == null || !written || !answered(a, (RedisMessage) msg)) {
+                    if (a != null) {
+                        end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
+                    }
+                    channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
                     return;
                 }
-                answered(a, (RedisMessage) msg);
-                if (current == a) {
-                    free();
-                }
+                answered = true;
             } finally {
                 ReferenceCountUtil.release(msg);
             }
         }
 
-        private void answered(Attempt a, RedisMessage msg) {
-            if (msg instanceof ArrayRedisMessage array && !array.isNull() && !array.children().isEmpty()
+        /** Takes an answer in one of the protocol's forms; false where it is in none: it may have run. */
+        private boolean answered(Attempt a, RedisMessage msg) {
+            if (msg instanceof ArrayRedisMessage array && !array.isNull() && array.children().size() == PARTS
                 && Resp.isValue(array.children().get(0)) && a.request != null) {
                 List<RedisMessage> parts = array.children();
-                end(a, Gateway.Outcome.OK, parts.get(0),
-                    parts.size() > 2 ? load(Resp.text(parts.get(2))) : NO_LOAD);
+                end(a, Gateway.Outcome.OK, parts.get(0), load(Resp.text(parts.get(2))));
             } else if (msg instanceof ErrorRedisMessage error) {
                 String text = error.content();
-                boolean busy = text.startsWith("BUSY");
-                if (!busy && !text.startsWith("ERR")) {
+                boolean busy = text.equals("BUSY") || text.startsWith("BUSY ");
+                if (!busy && !text.startsWith("ERR ")) {
                     node.log("app server", new IllegalStateException(text));
+                    return false;
                 }
                 int space = text.lastIndexOf(' ');
                 end(a, busy ? Gateway.Outcome.FULL : Gateway.Outcome.ERROR, null,
@@ -341,18 +381,44 @@
             } else if (a.request == null && Resp.isValue(msg)) {
                 end(a, Gateway.Outcome.OK, null, load(Resp.text(msg)));
             } else {
-                end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
+                return false;
             }
+            return true;
         }
 
+        /**
+         * A connection is used again only after an answer with nothing behind it: a second copy or half a
+         * message would be taken for the next request's. One with half an answer is waited for, but not long.
+         */
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (current == null && raw.pending != 0) {
+                channel.close();
+            } else if (answered) {
+                free();
+            } else if (current != null && raw.pending != 0 && !begun) {
+                begun = true;
+                Attempt a = current;
+                node.after(WHOLE_WITHIN, () -> spoilt(a));
+            }
+            answered = false;
             node.flush();
         }
 
+        private void spoilt(Attempt a) {
+            if (current == a) {
+                current = null;
+                channel.close();
+                end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
+            }
+        }
+
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open--;
             target.idle.remove(this);
             target.links.remove(this);
+            if (target.up && !target.waiting.isEmpty()) {
+                serve(target);
+            }
             Attempt a = current;
             current = null;
             if (a != null) {
@@ -364,6 +430,9 @@
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (!(cause instanceof java.io.IOException)) {
                 node.log("app server connection", cause);
+                if (current != null) { // what came cannot be read: an error of this answer, not of the server
+                    spoilt(current);
+                }
             }
             channel.close();
         }
@@ -385,7 +454,7 @@
                 i = i < 0 ? fields.indexOf(FIELDS.getOrDefault(name, name)) : i;
                 try {
                     if (i >= 0) {
-                        values[i] = Double.parseDouble(pair.substring(eq + 1));
+                        values[i] = Math.max(0, Double.parseDouble(pair.substring(eq + 1)));
                     }
                 } catch (NumberFormatException e) {
                     values[i] = Double.NaN;
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -69,6 +69,24 @@
         assertTrue(rate > 2 && rate < 5, "even part 4: " + rate);
     }
 
+    /** A connection to the counter that breaks is no crowding: slowing down for it refused nine in ten. */
+    @Test void brokenCounterConnectionsDoNotSlowTheCalls() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 200; i++) {
+            b.to(i * 250);
+            b.arrive(2 * i, "read", "rate", "x" + i);
+            b.answerCounter(Gateway.Outcome.RESET);
+            b.arrive(2 * i + 1, "read", "rate", "y" + i);
+            b.answerCounter(OK);
+        }
+        b.to(51_000);
+        long before = b.count("count 1.0");
+        for (int i = 1000; i < 1060; i++) {
+            b.arrive(i, "read", "rate", "z" + i);
+        }
+        assertEquals(60, b.count("count 1.0") - before, "a call for each new customer");
+    }
+
     @Test void aRefusingCounterIsNotFlooded() {
         Bench b = new Bench();
         rate(b, Gateway.Outcome.FULL, 0);
--- /dev/null
+++ b/src/test/java/willowyoke/net/SpoiltTest.java
@@ -0,0 +1,119 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Answers of app servers and of the counter that are spoilt, or bring more than belongs to them. */
+class SpoiltTest extends NodeFixture {
+    private Peer.Line next(Peer.Line client, int id) throws Exception {
+        get(client, "0" + id, "read", 5000);
+        arrived(id, "read");
+        Peer.Line line = app.accept();
+        assertEquals("0" + id, line.message().get(2));
+        return line;
+    }
+
+    /** A second copy, or half a message, right behind an answer is not the next request's value. */
+    @Test void whatComesBehindAnAnswerEndsTheConnection() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 5000);
+        arrived(1, "read");
+        server.message();
+        String[] behind = {"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n", "*3\r\n$3", "noise"};
+        Peer.Line line = server;
+        for (int i = 1; i <= behind.length; i++) {
+            line.write("*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n" + behind[i - 1]);
+            assertEquals(List.of("one"), client.message());
+            expect("ended " + i + " 0 OK true");
+            assertTrue(line.ended(), behind[i - 1]);
+            line = next(client, i + 1);
+        }
+        line.value("own");
+        assertEquals(List.of("own"), client.message());
+    }
+
+    /** Also when nothing is asked on the connection: the decoder keeps half a message to itself. */
+    @Test void bytesOnAnIdleConnectionEndIt() throws Exception {
+        start();
+        server.write("*3\r\n$5\r\nst");
+        assertTrue(server.ended());
+        Peer.Line line = next(client(), 1);
+        line.value("v");
+        expect("ended 1 0 OK true");
+    }
+
+    /** It may have run, and what comes next on the connection belongs to nobody. */
+    @Test void anAnswerInNoFormIsAnErrorAndEndsTheConnection() throws Exception {
+        start();
+        server.close();
+        Peer.Line client = client();
+        String[] forms = {"*-1\r\n", "*3\r\n$-1\r\n$-1\r\n$-1\r\n", "+OK\r\n", ":1\r\n",
+            "$3\r\nabc\r\n",
+            "*4\r\n$1\r\na\r\n$-1\r\n$-1\r\n$-1\r\n", "*2\r\n$1\r\na\r\n$-1\r\n", "-BUSYNESS\r\n",
+            "noise\r\n",
+            "*3\r\n$3\r\nabcde\r\n$-1\r\n$-1\r\n", "*3\r\n$3000000000\r\nabc", "*3\r\n$-7\r\n"};
+        for (int i = 1; i <= forms.length; i++) {
+            Peer.Line line = next(client, i);
+            line.write(forms[i - 1]);
+            expect("ended " + i + " 0 ERROR false");
+            assertEquals(List.of("-ERR failed"), client.message());
+            assertTrue(line.ended(), forms[i - 1]);
+        }
+    }
+
+    /** A value whose length is longer than what comes kept its request until the client's time was up. */
+    @Test void halfAnAnswerIsNotWaitedForToTheEnd() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "01", "read", 60_000);
+        arrived(1, "read");
+        server.message();
+        server.write("*3\r\n$50\r\nabc\r\n$-1\r\n$-1\r\n");
+        expect("ended 1 0 ERROR false");
+        assertEquals(List.of("-ERR failed"), client.message());
+        assertTrue(server.ended());
+    }
+
+    /** A report that cannot be read spoils no value, and the connection is as good as before. */
+    @Test void aBadReportSpoilsNoValue() throws Exception {
+        start();
+        Peer.Line client = client();
+        for (int i = 1; i <= 2; i++) {
+            get(client, "0" + i, "read", 5000);
+            arrived(i, "read");
+            server.message();
+            server.write("*3\r\n$1\r\nv\r\n$2\r\n?%\r\n$12\r\nutil=x,=,,ab\r\n");
+            expect("ended " + i + " 0 OK true");
+            assertEquals(List.of("v"), client.message());
+        }
+    }
+
+    /** No number in it: the amount was added; the line is of no use, and NaN would stay in all sums. */
+    @Test void aCounterAnswerWithoutANumberEndsItsLine() throws Exception {
+        start();
+        List<Peer.Line> lines = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            lines.add(counter.accept());
+        }
+        Peer.Line client = client();
+        Peer.Line line = lines.get((int) Math.floorMod(77L, 4L));
+        String[] spoilt = {"$3\r\nNaN\r\n", "$8\r\nInfinity\r\n", "$3\r\n3x4\r\n", "$-1\r\n", ":5\r\n",
+            "+OK\r\n", "noise\r\n", "$4\r\n0x1p\r\n", "$9\r\n12"};
+        for (int i = 1; i <= spoilt.length; i++) {
+            get(client, "0" + i, "count", 5000);
+            arrived(i, "count");
+            for (List<String> words = line.message(); words.get(0).equals("PING"); words = line.message()) {
+                line.write("+PONG\r\n");
+            }
+            line.write(spoilt[i - 1]);
+            expect("counted 77 RESET 0.0");
+            expect("counted 77 RESET 0.0"); // the second call was behind it
+            line = counter.accept();
+        }
+    }
+}
