Take only what the protocol allows from clients, and end those that say nothing whole

At fault: Call read numbers with Double.parseDouble and an (int), held no set against the settings, nor the command against the class; one id could be open twice.

--- a/src/main/java/willowyoke/net/Call.java
+++ b/src/main/java/willowyoke/net/Call.java
@@ -6,18 +6,26 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Pattern;
+import willowyoke.Gateway;
 
 /** A client's call as read: what the module is told of it, and its list of names and values round d. */
-record Call(String customer, String type, String plan, double patience, int units, int spread, int first,
-    boolean again, String beforeWait, String afterWait) {
+record Call(String customer, String id, String type, String plan, double patience, int units, int spread,
+    int first, boolean again, String beforeWait, String afterWait) {
 
     private static final int CUSTOMER = 1;
     private static final int ID = 2;
     private static final int LIST = 3;
     private static final int BODY = 4;
 
-    /** Throws IllegalArgumentException with what is wrong. */
-    static Call of(ArrayRedisMessage command) {
+    /** 16 hex digits, below 2^33. */
+    private static final Pattern KEY = Pattern.compile("0{7}[01][0-9a-f]{8}");
+    /** Java's own reading takes NaN, 1e30 and 0x1p3 too: units of any of them would go off a quota. */
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,9}");
+    private static final Pattern WAIT = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
+
+    /** Throws IllegalArgumentException with what is wrong; sets and units are held against the settings. */
+    static Call of(ArrayRedisMessage command, Gateway.Settings settings) {
         List<RedisMessage> parts = command.children();
         if (parts.size() <= LIST || parts.size() > BODY + 1) {
             throw new IllegalArgumentException("wrong number of arguments");
@@ -29,7 +37,7 @@
         }
         String customer = Resp.text(parts.get(CUSTOMER));
         String id = Resp.text(parts.get(ID));
-        if (customer.isEmpty() || customer.length() > 64 || id.isEmpty() || id.length() > 64) {
+        if (!KEY.matcher(customer).matches() || id.isEmpty() || id.length() > 64) {
             throw new IllegalArgumentException("customer or id is malformed");
         }
         String list = Resp.text(parts.get(LIST));
@@ -42,6 +50,7 @@
         int waitFrom = -1;
         int waitTo = -1;
         boolean again = false;
+        boolean keyed = false;
         for (int from = 0; from < list.length();) {
             int comma = list.indexOf(',', from);
             int to = comma < 0 ? list.length() : comma;
@@ -54,31 +63,42 @@
                 case "c" -> type = value;
                 case "t" -> plan = value;
                 case "d" -> {
-                    wait = number(value);
+                    wait = Double.parseDouble(matching(WAIT, value));
                     waitFrom = eq + 1;
                     waitTo = to;
                 }
-                case "units" -> units = (int) number(value);
-                case "spread" -> spread = (int) number(value);
-                case "first" -> first = (int) number(value);
+                case "units" -> units = Integer.parseInt(matching(WHOLE, value));
+                case "spread" -> spread = Integer.parseInt(matching(WHOLE, value));
+                case "first" -> first = Integer.parseInt(matching(WHOLE, value));
+                case "k" -> keyed = !value.isEmpty();
                 case "r" -> again = value.equals("1");
                 default -> { } // passed on as it is
             }
             from = to + 1;
         }
-        if (type == null || plan == null || waitFrom < 0 || units < 1 || spread < 1 || first < 0) {
+        if (type == null || plan == null || waitFrom < 0) {
             throw new IllegalArgumentException("c, t and d are needed");
         }
-        return new Call(customer, type, plan, wait, units, spread, first, again, list.substring(0, waitFrom),
-            list.substring(waitTo));
+        if (units < 1 || units > settings.mostUnits() || spread < 1 || spread > settings.nodes()
+            || first >= settings.nodes()) {
+            throw new IllegalArgumentException("units or set out of range");
+        }
+        boolean get = Resp.text(parts.get(0)).endsWith("GET");
+        for (Gateway.RequestClass c : settings.classes()) {
+            if (c.name().equals(type) && (get != (c.effect() == Gateway.Effect.SAFE)
+                || c.effect() == Gateway.Effect.KEYED && !keyed)) {
+                throw new IllegalArgumentException("not the command of this class, or no k");
+            }
+        }
+        return new Call(customer, id, type, plan, wait, units, spread, first, again,
+            list.substring(0, waitFrom), list.substring(waitTo));
     }
 
-    private static double number(String value) {
-        try {
-            return Double.parseDouble(value);
-        } catch (NumberFormatException e) {
+    private static String matching(Pattern form, String value) {
+        if (!form.matcher(value).matches()) {
             throw new IllegalArgumentException("a number is malformed");
         }
+        return value;
     }
 
     /** The command as it goes on: unchanged, but d tells what is left. */
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -28,10 +28,19 @@
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final int MOST_WORDS = 16;
+    /** One that has sent nothing whole for so long (ms) is told so and ended. */
+    private static final double PATIENCE = 2500;
+    private static final double SWEEP = 250;
+    /** At the bound one that has asked nothing yet may go after this (ms): clients ask when they connect. */
+    private static final double ASKS_WITHIN = 500;
+    /** A client that does not read what it is owed is cut off this long (ms) after the end. */
+    private static final int UNREAD = 2000;
 
     private final Node node;
     private final int most;
     private final Set<Connection> open = new LinkedHashSet<>();
+    /** Those that have sent no whole command yet, the oldest first. */
+    private final Set<Connection> silent = new LinkedHashSet<>();
     private Channel listener;
     private boolean closing;
 
@@ -52,17 +61,40 @@
             .childHandler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     Connection c = new Connection(channel);
-                    Resp.codec(channel.pipeline(), MOST_WORDS);
+                    c.raw = Resp.codec(channel.pipeline(), MOST_WORDS);
                     channel.pipeline().addLast(c);
                     open.add(c);
+                    silent.add(c);
                     room();
                 }
             }).bind(address).sync().channel().localAddress();
     }
 
+    void start() {
+        node.after(SWEEP, this::sweep);
+    }
+
+    /** Connections that say nothing, or half a command, would fill the bound. */
+    private void sweep() {
+        node.after(SWEEP, this::sweep);
+        double before = node.now() - PATIENCE;
+        for (Connection c : open.toArray(new Connection[0])) {
+            if (!c.deaf && c.slots.isEmpty() && c.silentFrom < before) {
+                c.malformed("no whole command came");
+            }
+        }
+    }
+
     /** At the bound the connection idle for longest goes; with none idle, accepting waits for a close. */
     private void room() {
         if (open.size() > most) {
+            for (Connection c : silent) {
+                if (c.bornAt < node.now() - ASKS_WITHIN && !c.deaf) {
+                    c.finish();
+                    return;
+                }
+                break;
+            }
             for (Connection c : open) {
                 if (c.slots.isEmpty() && !c.deaf) {
                     c.finish();
@@ -122,7 +154,12 @@
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+        private final double bornAt = node.now();
+        private Resp.Raw raw;
+        /** Since when a whole command is waited for; never where none has begun. */
+        private double silentFrom = bornAt;
         private boolean deaf;
+        private boolean broken;
         private boolean finished;
 
         Connection(SocketChannel channel) {
@@ -134,6 +171,9 @@
                 ReferenceCountUtil.release(msg);
                 return;
             }
+            raw.whole((RedisMessage) msg);
+            silent.remove(this);
+            silentFrom = Double.MAX_VALUE;
             if (slots.isEmpty()) {
                 open.remove(this);
                 open.add(this); // the least recently used first
@@ -169,8 +209,8 @@
 
         /** Reading stops while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
-            boolean read = deaf
-                || slots.size() < PIPELINED && channel.isWritable() && !node.full();
+            boolean read = deaf && !broken || !deaf
+                && slots.size() < PIPELINED && channel.isWritable() && !node.full();
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
             }
@@ -194,7 +234,8 @@
             if (!finished) {
                 finished = true;
                 deaf = true;
-                channel.config().setAutoRead(true);
+                channel.config().setAutoRead(!broken);
+                channel.eventLoop().schedule(() -> channel.close(), UNREAD, TimeUnit.MILLISECONDS);
                 // behind all that is written: ending the output drops what a slow reader has still to get
                 channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(f -> {
                     channel.shutdownOutput();
@@ -204,6 +245,11 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (raw.pending == 0) {
+                silentFrom = silent.contains(this) ? silentFrom : Double.MAX_VALUE;
+            } else if (silentFrom == Double.MAX_VALUE) {
+                silentFrom = node.now();
+            }
             node.flush();
         }
 
@@ -213,6 +259,7 @@
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
             open.remove(this);
+            silent.remove(this);
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
                 ReferenceCountUtil.release(slot.answer);
@@ -224,15 +271,29 @@
             node.flush();
         }
 
-        /** Malformed input: after what is owed there is no telling where the next command begins. */
+        /**
+         * There is no telling where the next command begins. What is open on the connection fails at once, so
+         * that the error is not late behind it, and nothing more is read: 60 MB would cost as much to drop.
+         */
+        private void malformed(String what) {
+            if (!deaf) {
+                deaf = true;
+                broken = true;
+                Slot last = new Slot(this);
+                slots.add(last);
+                for (Slot slot : slots.toArray(new Slot[0])) {
+                    if (slot.request != null) {
+                        node.giveUp(slot.request);
+                    }
+                }
+                last.answer(new ErrorRedisMessage("ERR " + what));
+            }
+            node.flush();
+        }
+
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof io.netty.handler.codec.CodecException) {
-                if (!deaf) {
-                    deaf = true;
-                    Slot last = new Slot(this);
-                    slots.add(last);
-                    last.answer(new ErrorRedisMessage("ERR malformed"));
-                }
+                malformed("malformed");
                 return;
             }
             if (!(cause instanceof java.io.IOException)) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -85,6 +86,7 @@
     private final long startedNanos = System.nanoTime();
     private final double startedMs = System.currentTimeMillis();
     private final LongObjectHashMap<Request> requests = new LongObjectHashMap<>();
+    private final Set<String> ids = new HashSet<>();
     private final Set<Channel> dirty = new LinkedHashSet<>();
     private final ClientListener clients;
     private final ServerPool servers;
@@ -122,6 +124,7 @@
             discovery.start(config.known());
             counter.start();
             servers.start();
+            clients.start();
             CompletableFuture.allOf(discovery.ready(), servers.ready(), counter.ready())
                 .thenRun(() -> ready.complete(null));
         });
@@ -167,22 +170,25 @@
 
     /** SIGTERM: answers all that is taken and then ends; returns when that is done. */
     public void drain() {
+        double longest = config.settings().classes().stream()
+            .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
         group.execute(() -> {
             after(STAY_OPEN, clients::close);
             after(LISTEN_ON, () -> {
                 clients.unbind();
-                whenIdle();
+                whenIdle(now() + longest + STAY_OPEN);
             });
         });
         ended.join();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
-    private void whenIdle() {
-        if (clients.idle()) {
+    /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
+    private void whenIdle(double until) {
+        if (clients.idle() || now() >= until) {
             ended.complete(null);
         } else {
-            after(5, this::whenIdle);
+            after(5, () -> whenIdle(until));
         }
     }
 
@@ -260,13 +266,16 @@
         double now = now();
         Call call;
         try {
-            call = Call.of(command);
+            call = Call.of(command, config.settings());
         } catch (IllegalArgumentException e) {
             return e.getMessage();
         }
         if (!(call.patience() > 0 && call.patience() <= LONGEST)) {
             return "d is out of range";
         }
+        if (!ids.add(call.id())) {
+            return "a request of this id is open"; // servers could not tell the two apart
+        }
         double patience = Math.max(1, call.patience() - WAY_BACK);
         Request r = new Request(++lastId, slot, retained(command), call, now + patience);
         slot.request = r;
@@ -296,7 +305,7 @@
     }
 
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
-    private void giveUp(Request r) {
+    void giveUp(Request r) {
         if (!r.over) {
             answer(r, new ErrorRedisMessage("ERR failed"));
             tell(m -> m.gone(now(), r.id));
@@ -329,6 +338,7 @@
     private void settle(Request r) {
         if (r.over && r.out == 0 && requests.remove(r.id) != null) {
             r.timer.cancel(false);
+            ids.remove(r.call.id());
             boolean wasFull = full();
             held -= r.bytes;
             ReferenceCountUtil.release(r.command);
