--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import willowyoke.net.Config;
 import willowyoke.net.Node;
+import willowyoke.net.Warmup;
 
 /** The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node. */
 public final class Main {
@@ -47,6 +48,7 @@
             System.exit(2);
             return;
         }
+        Warmup.run(config.settings(), Decide::new);
         Node node = new Node(config, Decide::new);
         try {
             node.start();
