--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -331,7 +331,8 @@
         }
         Customer c = call.customer;
         boolean heard = outcome == Gateway.Outcome.OK;
-        misses = heard ? 0 : misses + 1;
+        // a connection that broke was up a moment ago: no sign that the counter is away
+        misses = heard ? 0 : outcome == Gateway.Outcome.RESET ? misses : misses + 1;
         // crowded; a connection that breaks tells nothing of that
         callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT;
         if (heard) {
@@ -726,10 +727,11 @@
                 sample(h, 2 * h.slow);
                 fault(h, 0.5);
             }
-            case NO_CONNECTION, RESET -> {
-                h.wasDead = true;
+            case NO_CONNECTION -> { // one may be chance; a dead process fails the next and the trial too
+                h.wasDead |= h.trial;
                 fault(h, 2);
             }
+            case RESET -> fault(h, 1); // one connection: a process that died resets all
             default -> { }
         }
     }
@@ -743,7 +745,7 @@
     /** Ejects on evidence, for longer each time, and never more than half of the fleet. */
     private void fault(Host h, double weight) {
         h.fails += weight;
-        if (h.fails < 3 && !h.trial && !(h.wasDead && weight >= 2) || now < h.ejectedUntil) {
+        if (h.fails < 3 && !h.trial || now < h.ejectedUntil) {
             return;
         }
         if (2 * hosts.values().stream().filter(o -> o.listed && now < o.ejectedUntil).count() + 2 <= up) {
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -16,6 +16,8 @@
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import willowyoke.Gateway;
@@ -108,7 +110,8 @@
     /** A name's answers come in the order of its calls: so its line changes only with no call to be told. */
     private Line line(int i) {
         Line old = lines[i];
-        if (coming[i] != null && coming[i].channel != null && old.calls.stream().allMatch(c -> c.told)) {
+        if (coming[i] != null && coming[i].channel != null && old.calls.stream().allMatch(c -> c.told)
+            && old.waiting.isEmpty()) {
             lines[i] = coming[i];
             coming[i] = null;
             old.end();
@@ -122,14 +125,18 @@
 
     void add(long name, double amount, double keepFor) {
         Line line = address == null ? null : line((int) Math.floorMod(name, (long) LINES));
-        if (line == null || line.channel == null) {
+        if (line == null || line.channel == null && !line.connecting) {
             node.later(() -> node.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
             return;
         }
         Call call = new Call(line, name, node.now(), false);
         long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
-        line.write(call, "CNT.ADD", Long.toString(name),
-            plain(amount), Long.toString(life));
+        String[] words = {"CNT.ADD", Long.toString(name), plain(amount), Long.toString(life)};
+        if (line.channel == null) {
+            line.waiting.put(call, words); // a line that broke is back in about a round trip
+        } else {
+            line.write(call, words);
+        }
         untold.add(call);
         if (!armed) {
             armed = true;
@@ -149,7 +156,8 @@
                 call.line.spoilt(); // half an answer, and no more of it: what it is of has been added
                 tell(call, Gateway.Outcome.RESET, 0);
             }
-            tell(call, Gateway.Outcome.TIMEOUT, 0);
+            tell(call, call.line.waiting.remove(call) == null ? Gateway.Outcome.TIMEOUT
+                : Gateway.Outcome.NO_CONNECTION, 0);
         }
         armed = !untold.isEmpty();
         if (armed) {
@@ -182,10 +190,12 @@
     private final class Line {
         private final InetSocketAddress at;
         private final ArrayDeque<Call> calls = new ArrayDeque<>();
+        /** Calls made while the line is coming up, in their order. */
+        private final Map<Call, String[]> waiting = new LinkedHashMap<>();
+        private boolean connecting;
         private Channel channel;
         private double usedAt;
         private boolean ending;
-        private boolean spoilt;
         private Resp.Raw raw;
 
         Line(InetSocketAddress at) {
@@ -202,7 +212,6 @@
 
         /** What comes on it can be told apart no more: a new one takes its place at once. */
         void spoilt() {
-            spoilt = true;
             channel.close();
         }
 
@@ -210,6 +219,7 @@
             if (at != address) {
                 return; // left meanwhile
             }
+            connecting = true;
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
                 @Override protected void initChannel(SocketChannel channel) {
                     raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
@@ -217,9 +227,14 @@
                 }
             }).connect(at);
             connected.addListener(f -> {
+                connecting = false;
+                Map<Call, String[]> held = new LinkedHashMap<>(waiting);
+                waiting.clear();
                 if (f.isSuccess()) {
                     channel = connected.channel();
                     usedAt = node.now();
+                    held.forEach(this::write);
+                    node.flush();
                     for (Line line : lines) {
                         if (line.channel == null) {
                             return;
@@ -227,6 +242,8 @@
                     }
                     ready.complete(null);
                 } else {
+                    held.forEach((call, words) -> tell(call, Gateway.Outcome.NO_CONNECTION, 0));
+                    node.flush();
                     node.after(RECONNECT, this::connect);
                 }
             });
@@ -292,14 +309,12 @@
                 for (Call call = calls.poll(); call != null; call = calls.poll()) {
                     tell(call, call.written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, 0);
                 }
-                node.after(spoilt ? 0 : RECONNECT, Line.this::connect);
-                spoilt = false;
+                node.later(Line.this::connect); // at once: only a connect that fails is tried less often
                 node.flush();
             }
 
             @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                spoilt = !(cause instanceof java.io.IOException);
-                if (spoilt) {
+                if (!(cause instanceof java.io.IOException)) {
                     node.log("counter", cause);
                 }
                 ctx.close();
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -87,6 +87,17 @@
         assertEquals(60, b.count("count 1.0") - before, "a call for each new customer");
     }
 
+    /** Eight broken connections in a row were taken for a counter that is away: nothing was asked for 2 s. */
+    @Test void brokenCounterConnectionsDoNotMeanSilence() {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 20; i++) {
+            b.arrive(i, "read", "rate", "x" + i);
+            b.answerCounter(Gateway.Outcome.RESET);
+        }
+        b.arrive(20, "read", "rate", "y");
+        assertEquals(21, b.count("count 1.0"), "the counter is still asked");
+    }
+
     @Test void aRefusingCounterIsNotFlooded() {
         Bench b = new Bench();
         rate(b, Gateway.Outcome.FULL, 0);
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -204,6 +204,23 @@
         assertNull(b.sentTo(99));
     }
 
+    /** One failed connect, or reset, is no restart: warm servers were sent as little as cold ones. */
+    @Test void oneFailedConnectDoesNotMakeAServerCold() {
+        for (Gateway.Outcome chance : List.of(Gateway.Outcome.NO_CONNECTION, Gateway.Outcome.RESET)) {
+            Bench b = Bench.plain();
+            b.nodes = 1; // or the first pace is the bound
+            b.start().servers(1);
+            b.arrive(1, "read", "big", "c");
+            b.end(1, 0, chance);
+            b.end(1, 1, Gateway.Outcome.OK);
+            long before = b.count("send");
+            for (int i = 10; i < 20; i++) {
+                b.arrive(i, "read", "big", "c");
+            }
+            assertEquals(4, b.count("send") - before, "as many as a warm server gets: " + chance);
+        }
+    }
+
     @Test void moduleIsShortEnoughToPrint() throws Exception {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/willowyoke/Decide.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 1200);
--- a/src/test/java/willowyoke/net/SpoiltTest.java
+++ b/src/test/java/willowyoke/net/SpoiltTest.java
@@ -116,4 +116,27 @@
             line = counter.accept();
         }
     }
+
+    /** A line that was reset was down for 100 ms, and all calls of its names were lost. */
+    @Test void aBrokenCounterLineIsBackAtOnce() throws Exception {
+        start();
+        List<Peer.Line> lines = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            lines.add(counter.accept());
+        }
+        Peer.Line client = client();
+        get(client, "01", "count", 5000);
+        arrived(1, "count");
+        lines.get((int) Math.floorMod(77L, 4L)).close();
+        expect("counted 77 RESET 0.0");
+        expect("counted 77 RESET 0.0");
+        get(client, "02", "count", 5000);
+        arrived(2, "count");
+        Peer.Line line = counter.accept();
+        assertEquals(List.of("CNT.ADD", "77", "-2.5", "4000"), line.message());
+        line.message();
+        line.write("$1\r\n5\r\n$1\r\n6\r\n");
+        expect("counted 77 OK 5.0");
+        expect("counted 77 OK 6.0");
+    }
 }
