--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -332,7 +332,8 @@
         Customer c = call.customer;
         boolean heard = outcome == Gateway.Outcome.OK;
         // a connection that broke was up a moment ago: no sign that the counter is away
-        misses = heard ? 0 : outcome == Gateway.Outcome.RESET ? misses : misses + 1;
+        boolean alive = outcome == Gateway.Outcome.RESET || outcome == Gateway.Outcome.ERROR;
+        misses = heard ? 0 : alive ? misses : misses + 1;
         // crowded; a connection that breaks tells nothing of that
         callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT;
         if (heard) {
@@ -344,7 +345,7 @@
         }
         switch (call.why) {
             case CLAIM -> claimHeard(c, outcome, total);
-            case GIVE -> c.uncounted -= outcome.neverRan ? call.amount : 0;
+            case GIVE -> c.uncounted += lost(outcome) ? call.amount : 0; // below 0: still to be taken off
             case FIX -> fixHeard(c, heard, total);
             case TAKE_SLOT -> slotHeard(c, heard, total);
             default -> { }
@@ -440,6 +441,11 @@
         call(c, name(c, c.askEpoch), c.added, Why.CLAIM);
     }
 
+    /** Most calls on a connection that breaks were not added: taken as added, a tenth went beyond quotas. */
+    private static boolean lost(Gateway.Outcome outcome) {
+        return outcome.neverRan || outcome == Gateway.Outcome.RESET;
+    }
+
     /** What the quota has filled under the name of an epoch: a burst and the rate since. */
     private double filled(Customer c, long epoch) {
         return c.plan.burst() + c.plan.rate() * (now - epoch * ACCOUNT) / 1000;
@@ -449,7 +455,7 @@
         c.asking = false;
         if (outcome != Gateway.Outcome.OK) {
             // a late call is added all the same, as a crowded counter serves those too; the next add makes up
-            c.uncounted += outcome.neverRan ? c.added - c.claimed : -c.claimed;
+            c.uncounted += lost(outcome) ? c.added - c.claimed : -c.claimed;
             c.askAt = nextEdge();
             return;
         }
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -25,10 +25,12 @@
 /** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
 final class CounterClient {
     private static final int LINES = 4;
-    /** Checks (ms): shorter than the 10 s or less after which the counter closes an idle connection. */
-    private static final double CHECK = 1000;
-    /** A connection that owes an answer for longer (ms) is one to a machine that is gone. */
-    private static final double DEAD = 3000;
+    private static final double CHECK = 200;
+    /** Silence (ms) until a check: shorter than the 10 s or less after which the counter ends idle ones. */
+    private static final double IDLE = 1000;
+    /** A line that owes an answer for longer (ms) may be dead: what is lost with it has been told. */
+    private static final double DEAD = 400;
+    private static final int CONNECT = 1500;
     private static final double RECONNECT = 100;
     private static final int MOST_ELEMENTS = 4;
     private static final double LONGEST_LIFE = 60_000;
@@ -71,7 +73,7 @@
         this.address = address;
         this.limit = limit;
         bootstrap = new Bootstrap().group(group).channel(Transport.socket())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) DEAD / 2);
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
         if (address == null) {
             ready.complete(null);
         }
@@ -153,8 +155,7 @@
         while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
             Call call = untold.poll();
             if (!call.told && call.line.channel != null && call.line.raw.pending != 0) {
-                call.line.spoilt(); // half an answer, and no more of it: what it is of has been added
-                tell(call, Gateway.Outcome.RESET, 0);
+                call.line.spoilt(); // half an answer, and no more of it
             }
             tell(call, call.line.waiting.remove(call) == null ? Gateway.Outcome.TIMEOUT
                 : Gateway.Outcome.NO_CONNECTION, 0);
@@ -180,7 +181,7 @@
                 Call oldest = line.calls.peek();
                 if (oldest != null && node.now() - oldest.sent > DEAD) {
                     line.channel.close();
-                } else if (node.now() - line.usedAt > CHECK) {
+                } else if (node.now() - line.usedAt > IDLE) {
                     line.write(new Call(line, 0, node.now(), true), "PING");
                 }
             }
@@ -210,11 +211,24 @@
             }
         }
 
-        /** What comes on it can be told apart no more: a new one takes its place at once. */
+        /**
+         * The oldest call's answer has no number in it: its amount was added. What comes behind can be told
+         * apart no more, and a new line takes its place at once.
+         */
         void spoilt() {
+            if (!calls.isEmpty()) {
+                tell(calls.poll(), Gateway.Outcome.ERROR, 0);
+            }
+            broken();
             channel.close();
         }
 
+        private void broken() {
+            for (Call call = calls.poll(); call != null; call = calls.poll()) {
+                tell(call, call.written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, 0);
+            }
+        }
+
         void connect() {
             if (at != address) {
                 return; // left meanwhile
@@ -267,6 +281,7 @@
                         return;
                     }
                     if (!answered(call, (RedisMessage) msg)) {
+                        calls.addFirst(call);
                         spoilt();
                     }
                     if (ending && calls.isEmpty()) {
@@ -295,7 +310,6 @@
                     tell(call, Gateway.Outcome.OK, Double.parseDouble(total));
                     return true;
                 }
-                tell(call, Gateway.Outcome.RESET, 0);
                 return false;
             }
 
@@ -306,9 +320,7 @@
             /** What was written may have been added. */
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
-                for (Call call = calls.poll(); call != null; call = calls.poll()) {
-                    tell(call, call.written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, 0);
-                }
+                broken();
                 node.later(Line.this::connect); // at once: only a connect that fails is tried less often
                 node.flush();
             }
@@ -316,6 +328,7 @@
             @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                 if (!(cause instanceof java.io.IOException)) {
                     node.log("counter", cause);
+                    spoilt();
                 }
                 ctx.close();
             }
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -87,6 +87,35 @@
         assertEquals(60, b.count("count 1.0") - before, "a call for each new customer");
     }
 
+    /** A give-back that was turned away was added once more in place of taken off with the next call. */
+    @Test void aGiveBackThatWasTurnedAwayIsMadeUp() {
+        double[] given = afterGiveBack(OK);
+        for (Gateway.Outcome outcome : List.of(Gateway.Outcome.FULL, Gateway.Outcome.RESET)) {
+            double[] turned = afterGiveBack(outcome);
+            assertEquals(given[0], turned[0]);
+            assertEquals(given[1] + given[0], turned[1], "the next call takes it off too");
+        }
+    }
+
+    /** What was given back of a claim past the store, and the next amount added once that had ended. */
+    private static double[] afterGiveBack(Gateway.Outcome outcome) {
+        Bench b = new Bench().start().servers(8);
+        for (int i = 0; i < 20; i++) {
+            b.arrive(i, "read", "rate", "c");
+        }
+        b.answerCounter(OK); // the claim of the first
+        b.answerCounter(OK); // of the rest
+        assertEquals(1, b.calls.size(), b.log.toString());
+        double back = Double.parseDouble(b.log.stream().filter(l -> l.startsWith("count "))
+            .reduce((p, l) -> l).orElseThrow().substring("count ".length()));
+        assertTrue(back < 0, b.log.toString());
+        b.answerCounter(outcome);
+        b.log.clear();
+        b.to(300);
+        return new double[] {back, Double.parseDouble(b.log.stream().filter(l -> l.startsWith("count "))
+            .findFirst().orElseThrow().substring("count ".length()))};
+    }
+
     /** Eight broken connections in a row were taken for a counter that is away: nothing was asked for 2 s. */
     @Test void brokenCounterConnectionsDoNotMeanSilence() {
         Bench b = new Bench().start().servers(8);
--- a/src/test/java/willowyoke/net/SpoiltTest.java
+++ b/src/test/java/willowyoke/net/SpoiltTest.java
@@ -111,7 +111,7 @@
                 line.write("+PONG\r\n");
             }
             line.write(spoilt[i - 1]);
-            expect("counted 77 RESET 0.0");
+            expect("counted 77 ERROR 0.0");
             expect("counted 77 RESET 0.0"); // the second call was behind it
             line = counter.accept();
         }
