Give the configuration a package of its own

Need: the mend of the reload and the operators' settings want room beside the configuration; the network's package should not hold it. Config, Json and SettingsReader move to willowyoke.config; names and behaviour are unchanged.

--- a/src/main/java/willowyoke/Wire.java
+++ b/src/main/java/willowyoke/Wire.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import willowyoke.config.SettingsReader;
 
 /** The text wire: parses batches into events, prints actions, hosts many instances. It decides nothing. */
 final class Wire {
@@ -209,7 +210,7 @@
         try {
             return SettingsReader.read(keys);
         } catch (SettingsReader.Bad bad) {
-            throw bad(bad.field, bad.getMessage());
+            throw bad(bad.field(), bad.getMessage());
         }
     }
 
--- a/src/main/java/willowyoke/net/Config.java
+++ b/src/main/java/willowyoke/config/Config.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.config;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -8,7 +8,6 @@
 import java.util.Map;
 import java.util.StringJoiner;
 import willowyoke.Gateway;
-import willowyoke.SettingsReader;
 
 /**
  * What this edge node is told at its start. The times are milliseconds; counter and known are null where the
@@ -39,7 +38,7 @@
         return fromEnvironment(rest);
     }
 
-    static Config of(Json root, Map<String, String> env) {
+    public static Config of(Json root, Map<String, String> env) {
         Map<String, String> keys = new HashMap<>();
         flatten("", root.get("settings"), keys);
         double idle = SettingsReader.number(keys, "limits.keepalive");
@@ -71,7 +70,7 @@
     }
 
     /** Addresses are numbers: there is no DNS. */
-    static InetSocketAddress address(String hostAndPort) {
+    public static InetSocketAddress address(String hostAndPort) {
         int colon = hostAndPort.lastIndexOf(':');
         try {
             return new InetSocketAddress(hostAndPort.substring(0, colon),
--- a/src/main/java/willowyoke/net/Json.java
+++ b/src/main/java/willowyoke/config/Json.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -13,7 +13,7 @@
  * A JSON value: the library's parser, without its data binding, whose classes cost a tenth of a start. What
  * is absent, null or of another kind reads as the fallback. A value is a map, a list, or text here.
  */
-final class Json {
+public final class Json {
     private static final JsonFactory FACTORY = new JsonFactory();
     private static final int DEEPEST = 32;
     private static final Json NONE = new Json(null);
@@ -23,11 +23,11 @@
         this.value = value;
     }
 
-    static Json read(byte[] text) throws IOException {
+    public static Json read(byte[] text) throws IOException {
         return whole(FACTORY.createParser(text));
     }
 
-    static Json read(String text) throws IOException {
+    public static Json read(String text) throws IOException {
         return whole(FACTORY.createParser(text));
     }
 
@@ -68,40 +68,40 @@
     }
 
     @SuppressWarnings("unchecked")
-    Map<String, Json> members() {
+    public Map<String, Json> members() {
         return value instanceof Map ? (Map<String, Json>) value : Map.of();
     }
 
     @SuppressWarnings("unchecked")
-    List<Json> elements() {
+    public List<Json> elements() {
         return value instanceof List ? (List<Json>) value : List.of();
     }
 
-    Json get(String name) {
+    public Json get(String name) {
         return members().getOrDefault(name, NONE);
     }
 
-    boolean isNull() {
+    public boolean isNull() {
         return value == null;
     }
 
-    boolean isObject() {
+    public boolean isObject() {
         return value instanceof Map;
     }
 
-    boolean isArray() {
+    public boolean isArray() {
         return value instanceof List;
     }
 
-    String text(String other) {
+    public String text(String other) {
         return value instanceof String text ? text : other;
     }
 
-    boolean isTrue() {
+    public boolean isTrue() {
         return "true".equals(value);
     }
 
-    double number(double other) {
+    public double number(double other) {
         try {
             return value instanceof String text ? Double.parseDouble(text) : other;
         } catch (NumberFormatException e) {
--- a/src/main/java/willowyoke/SettingsReader.java
+++ b/src/main/java/willowyoke/config/SettingsReader.java
@@ -1,20 +1,26 @@
-package willowyoke;
+package willowyoke.config;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import willowyoke.Gateway;
 
 /** The settings by path, as both hosts are told them: the simulator's wire and the real edge node's file. */
 public final class SettingsReader {
     /** A setting that is missing or cannot be understood. */
     public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
-        final String field;
+        private final String field;
 
         Bad(String field, String what) {
             super(what);
             this.field = field;
         }
+
+        /** The setting's path. */
+        public String field() {
+            return field;
+        }
     }
 
     private final Map<String, String> keys;
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -26,6 +26,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
 
 /** The list of app servers: the one told at the start, the whole list, then a watch that is kept alive. */
 final class Discovery {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 
 /**
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -25,6 +25,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 
 /**
  * Connections to app servers, and the attempts and probes on them. A connection carries one request at a
--- a/src/test/java/willowyoke/net/NodeFixture.java
+++ b/src/test/java/willowyoke/net/NodeFixture.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Timeout;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
 
 /** A real edge node between peers on loopback sockets, with a scripted module for the decisions. */
 @Timeout(30)
--- a/src/test/java/willowyoke/net/ReloadTest.java
+++ b/src/test/java/willowyoke/net/ReloadTest.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
 
 /** SIGHUP and new configurations while the edge node runs. */
 class ReloadTest extends NodeFixture {
--- a/src/test/java/willowyoke/net/WarmupTest.java
+++ b/src/test/java/willowyoke/net/WarmupTest.java
@@ -8,6 +8,8 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
 
 /** The warm-up must go the ordinary path to its end: a module that is never answered warms little. */
 class WarmupTest {
