Hear a reload also where SIGHUP is ignored: look at the configuration's file instead

Need: a process whose parent ignores SIGHUP (nohup, cron, some supervisors) inherits that; HotSpot then installs no handler and says so only by the one that it gives back, which nobody looked at. Change: Hangup tells whether the signal can be had; where it cannot, the log says so once and ConfigFile looks at the file every 200 ms, by content, counting it when two looks agree. Reads leave the event loop. Discovery that refuses four connects in a row has the file read again too, rarer while that brings nothing. A signal that comes during the start is no longer dropped. Settings that are refused are named in the message. Result: both loopback tests (child process with SIGHUP ignored; refusing discovery) fail without the code.

--- a/src/main/java/willowyoke/Hangup.java
+++ b/src/main/java/willowyoke/Hangup.java
@@ -9,8 +9,13 @@
 final class Hangup {
     private Hangup() { }
 
-    /** From here on each SIGHUP runs this, on a thread of the JVM's own. */
-    static void caught(Runnable then) {
+    /**
+     * From here on each SIGHUP runs this, on a thread of the JVM's own. False where the signal cannot be
+     * had: a process whose parent ignored it (nohup, cron, some supervisors) inherits that, and HotSpot
+     * then leaves it ignored and only tells so by the handler that it gives back (POSIX exec: ignored stays
+     * ignored); and a JVM with -Xrs gives up no signal at all.
+     */
+    static boolean caught(Runnable then) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -24,10 +29,11 @@
                     case "equals" -> self == args[0];
                     default -> "hangup";
                 });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
-            System.err.println("SIGHUP cannot be caught: " + e);
+            return false;
         }
     }
 }
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -8,8 +8,10 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import willowyoke.config.Config;
+import willowyoke.config.ConfigFile;
 import willowyoke.config.SettingsReader;
 import willowyoke.net.Node;
 import willowyoke.net.Rehearsal;
@@ -22,14 +24,16 @@
  */
 public final class Main {
     private static final AtomicReference<Node> RUNNING = new AtomicReference<>();
+    private static final AtomicBoolean HUNG_UP = new AtomicBoolean();
+    private static final AtomicReference<ConfigFile> FILE = new AtomicReference<>();
 
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
     public static void main(String[] args) throws IOException {
         if (args.length == 1 && args[0].equals("serve")) {
-            Hangup.caught(Main::reload); // before all else: until then SIGHUP ends the process
-            serve();
+            boolean told = Hangup.caught(Main::reload); // before all else: until then SIGHUP ends the process
+            serve(told);
             return;
         }
         if (args.length == 1 && args[0].equals("rehearse")) {
@@ -52,9 +56,14 @@
         out.flush();
     }
 
-    private static void serve() throws IOException {
+    private static void serve(boolean told) throws IOException {
         StartLog.ended("JVM");
         begin(System.getenv());
+        if (!told) {
+            System.err.println("SIGHUP is ignored by what started this process and cannot be had: the"
+                + " configuration's file is looked at instead");
+            FILE.get().watch();
+        }
     }
 
     /** The same start among stand-ins, and the same end. */
@@ -83,6 +92,8 @@
         Warmup.run(config.settings(), Decide::new);
         StartLog.ended("warm-up");
         Node node = new Node(config, Decide::new);
+        ConfigFile file = new ConfigFile(environment, node::reload, System.err::println);
+        node.whenLost(file::suspect);
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain")); // SIGTERM may cross the bind
         try {
             node.start();
@@ -92,13 +103,18 @@
         }
         StartLog.tell("bind");
         RUNNING.set(node);
+        FILE.set(file);
+        if (HUNG_UP.get()) { // while it came up: the file may be newer than what was read of it
+            file.read();
+        }
     }
 
-    /** Before the node is up its configuration is as good as new. */
+    /** Before the node is up there is nothing to move: it reads the file once more when it is. */
     private static void reload() {
-        Node node = RUNNING.get();
-        if (node != null) {
-            node.reload(() -> Config.again(System.getenv()));
+        HUNG_UP.set(true);
+        ConfigFile file = FILE.get();
+        if (file != null) {
+            file.read();
         }
     }
 }
--- a/src/main/java/willowyoke/Wire.java
+++ b/src/main/java/willowyoke/Wire.java
@@ -210,7 +210,7 @@
         try {
             return SettingsReader.read(keys);
         } catch (SettingsReader.Bad bad) {
-            throw bad(bad.field(), bad.getMessage());
+            throw bad(bad.field(), bad.what());
         }
     }
 
--- a/src/main/java/willowyoke/config/Config.java
+++ b/src/main/java/willowyoke/config/Config.java
@@ -31,11 +31,13 @@
         return of(Json.read(Files.readAllBytes(Path.of(file))), env);
     }
 
-    /** The file as it is now, for a running edge node: the variables are those of its start. */
-    public static Config again(Map<String, String> env) throws IOException {
+    /**
+     * The file as it is now, for a running edge node: the variables are those of its start, but discovery's.
+     */
+    public static Config again(byte[] file, Map<String, String> env) throws IOException {
         Map<String, String> rest = new HashMap<>(env);
         rest.remove("EDGE_DISCOVERY");
-        return fromEnvironment(rest);
+        return of(Json.read(file), rest);
     }
 
     public static Config of(Json root, Map<String, String> env) {
--- a/src/main/java/willowyoke/config/SettingsReader.java
+++ b/src/main/java/willowyoke/config/SettingsReader.java
@@ -11,10 +11,17 @@
     public static final class Bad extends RuntimeException {
         private static final long serialVersionUID = 1L;
         private final String field;
+        private final String what;
 
         Bad(String field, String what) {
-            super(what);
+            super(field + ": " + what);
             this.field = field;
+            this.what = what;
+        }
+
+        /** What is wrong with it, without its path. */
+        public String what() {
+            return what;
         }
 
         /** The setting's path. */
--- a/src/main/java/willowyoke/net/Discovery.java
+++ b/src/main/java/willowyoke/net/Discovery.java
@@ -45,6 +45,8 @@
     /** The agent is on this machine and at no cost: after one that worked the next is tried at once. */
     private static final double BACKOFF = 10;
     private static final double BACKOFF_MOST = 2000;
+    /** So many refusals in a row are no restart of the agent: by then some 100 ms have passed. */
+    private static final int REFUSED = 4;
     /** No list is as long as this (bytes); a line that grows past it ends the connection. */
     private static final int LINE = 8 << 20;
 
@@ -62,6 +64,7 @@
     private double heardAt;
     private double backoff = BACKOFF;
     private boolean connecting;
+    private int refused;
 
     Discovery(Node node, EventLoopGroup group, Config config) {
         this.node = node;
@@ -127,6 +130,9 @@
         }).connect(to).addListener(f -> {
             if (!f.isSuccess() && to == address) {
                 connecting = false;
+                if (++refused >= REFUSED) {
+                    node.discoveryRefuses();
+                }
                 again();
             }
         });
@@ -193,6 +199,7 @@
                 return;
             }
             connecting = false;
+            refused = 0;
             channel = ctx.channel();
             ask(ctx);
         }
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -98,6 +98,7 @@
     private long lastId;
     private long held;
     private int logged;
+    private Runnable lost = () -> { };
     private SocketAddress address;
 
     public Node(Config config, Maker maker) {
@@ -151,21 +152,16 @@
         }
     }
 
-    /** How the configuration is read again. */
-    public interface Reader {
-        Config read() throws IOException;
+    /** What to do when discovery refuses everything; called on the loop, must not block. */
+    public void whenLost(Runnable then) {
+        lost = then;
     }
 
-    /** SIGHUP: discovery and counter may have moved. What cannot be read changes nothing. */
-    public void reload(Reader file) {
+    /** A new configuration: discovery and counter may have moved. Any thread may bring it. */
+    public void reload(Config told) {
         group.execute(() -> guarded(() -> {
-            try {
-                Config told = file.read();
-                discovery.move(told.discovery());
-                counter.move(told.counter());
-            } catch (IOException e) {
-                log("configuration", e);
-            }
+            discovery.move(told.discovery());
+            counter.move(told.counter());
         }));
     }
 
@@ -388,6 +384,11 @@
         tell(m -> m.servers(now(), list, whole));
     }
 
+    /** Discovery's address refuses: another may be in force, and nobody have said so. */
+    void discoveryRefuses() {
+        lost.run();
+    }
+
     void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
--- a/src/test/java/willowyoke/net/ReloadTest.java
+++ b/src/test/java/willowyoke/net/ReloadTest.java
@@ -6,12 +6,15 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import willowyoke.config.Config;
+import willowyoke.config.ConfigFile;
 import willowyoke.config.Json;
 
 /** SIGHUP and new configurations while the edge node runs. */
@@ -35,7 +38,7 @@
     @Test void discoveryMoves() throws Exception {
         start();
         try (Peer next = new Peer()) {
-            node.reload(() -> moved(next, counter));
+            node.reload(moved(next, counter));
             Peer.Line line = next.accept();
             push(list(42, false, entry("s0", app.address(), "leaving")));
             expect("changes s0 DRAINING");
@@ -54,7 +57,7 @@
             old[i] = counter.accept();
         }
         try (Peer next = new Peer()) {
-            node.reload(() -> moved(discovery, next));
+            node.reload(moved(discovery, next));
             Peer.Line[] lines = new Peer.Line[4];
             for (int i = 0; i < 4; i++) {
                 lines[i] = next.accept();
@@ -76,32 +79,68 @@
         }
     }
 
-    /** A file that cannot be read changes nothing. */
-    @Test void aFileThatCannotBeReadIsLeftAlone() throws Exception {
-        start();
-        Path file = Files.writeString(folder.resolve("config.json"), "{\"name\":");
-        node.reload(() -> Config.again(Map.of("EDGE_CONFIG", file.toString())));
-        node.reload(() -> Config.again(Map.of("EDGE_CONFIG", folder.resolve("none").toString())));
-        push(list(42, false, entry("s0", app.address(), "leaving")));
-        expect("changes s0 DRAINING");
-    }
-
     /** The variables are those of the start: the file's discovery wins when it is read again. */
     @Test void theFileWinsOverTheVariableOfTheStart() throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), config());
         Map<String, String> env = Map.of("EDGE_CONFIG", file.toString(), "EDGE_DISCOVERY", "127.0.0.9:1");
         assertEquals("127.0.0.9:1", Config.fromEnvironment(env).discovery().toString().substring(1));
-        assertEquals(discovery.port(), Config.again(env).discovery().getPort());
+        assertEquals(discovery.port(), Config.again(Files.readAllBytes(file), env).discovery().getPort());
+    }
+
+    /** An address that refuses everything: the file is read again, though no signal came. */
+    @Test void discoveryThatRefusesHasTheFileReadAgain() throws Exception {
+        start();
+        Path file = Files.writeString(folder.resolve("config.json"), config());
+        try (Peer next = new Peer()) {
+            node.whenLost(new ConfigFile(Map.of("EDGE_CONFIG", file.toString()), node::reload,
+                told::add)::suspect);
+            Files.writeString(file, config().replace(discovery.address(), next.address()));
+            discovery.close();
+            watch.close();
+            answerLists(next.accept(), list(7, true, entry("s9", app.address(), "active")));
+            for (String each = told.take(); !each.equals("whole s9 UP"); each = told.take()) {
+                assertEquals("discovery failed", each);
+            }
+        }
+    }
+
+    private Process serve(Path file, String... before) throws IOException {
+        List<String> command = new ArrayList<>(List.of(before));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+            System.getProperty("java.class.path"), "willowyoke.Main", "serve"));
+        ProcessBuilder start = new ProcessBuilder(command);
+        start.environment().put("EDGE_CONFIG", file.toString());
+        return start.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
+    }
+
+    /** As under nohup: ignored by the parent, the signal cannot be caught, and used to be lost for ever. */
+    @Test void aReloadIsHeardWhereHangupIsIgnored() throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config());
+        Process process = serve(file, "/bin/sh", "-c", "trap '' HUP; exec \"$0\" \"$@\"");
+        try (Peer next = new Peer()) {
+            answerWatch();
+            counter.accept();
+            app.accept();
+            Path other = Files.writeString(folder.resolve("other.json"),
+                config().replace(discovery.address(), next.address()));
+            Files.move(other, file, StandardCopyOption.ATOMIC_MOVE);
+            assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start()
+                .waitFor());
+            answerLists(next.accept(), list(7, true, entry("s9", app.address(), "active")));
+            assertTrue(process.isAlive());
+            long said = Files.readAllLines(folder.resolve("log")).stream()
+                .filter(l -> l.startsWith("SIGHUP is ignored")).count();
+            assertEquals(1, said);
+        } finally {
+            process.destroy();
+            assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        }
     }
 
     /** A JVM without a handler ends with 129 at SIGHUP. Here a child process of its own gets one. */
     @Test void aHangupDoesNotEndTheProcess() throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), config());
-        ProcessBuilder start = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-cp", System.getProperty("java.class.path"), "willowyoke.Main", "serve");
-        start.environment().put("EDGE_CONFIG", file.toString());
-        start.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-        Process process = start.start();
+        Process process = serve(file);
         try (Peer next = new Peer()) {
             answerWatch(); // it runs, and has caught the signal before
             counter.accept();
