--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -147,7 +147,7 @@
         double slow = 1, slowAt;
         double limit = 4; // at first about two for each core of a small machine
         double lastSent, fails, ejectedUntil, ejections;
-        boolean trial, wasDead;
+        boolean trial, wasDead, left;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
         final Map<Type, double[]> failing = new HashMap<>(); // share that fails, when
 
@@ -192,11 +192,13 @@
         if (whole) {
             for (Host h : hosts.values()) {
                 h.listed = false;
+                h.left = true;
             }
         }
         for (Gateway.Server s : list) {
             Host h = hosts.computeIfAbsent(s.id(), Host::new);
             h.listed = s.state() == Gateway.State.UP;
+            h.left = s.state() == Gateway.State.GONE;
             boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
             h.told = s;
             if (s.startedAt() > 0 && s.startedAt() + set.rules().warmAfter() > now) {
@@ -208,6 +210,7 @@
                 h.failing.clear();
             }
         }
+        hosts.values().removeIf(h -> h.left && h.out.isEmpty()); // ids are ever new on a long day
         up = (int) hosts.values().stream().filter(h -> h.listed).count();
         if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
             paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
--- a/src/main/java/willowyoke/net/Transport.java
+++ b/src/main/java/willowyoke/loop/Transport.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.loop;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -13,21 +13,21 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 /** Native epoll, measured to take a fifth less CPU than NIO; NIO where its library cannot be loaded. */
-final class Transport {
+public final class Transport {
     private static final boolean NATIVE = Epoll.isAvailable();
 
     private Transport() { }
 
-    static EventLoopGroup loop() {
+    public static EventLoopGroup loop() {
         return new MultiThreadIoEventLoopGroup(1,
             NATIVE ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
 
-    static Class<? extends SocketChannel> socket() {
+    public static Class<? extends SocketChannel> socket() {
         return NATIVE ? EpollSocketChannel.class : NioSocketChannel.class;
     }
 
-    static Class<? extends ServerSocketChannel> listener() {
+    public static Class<? extends ServerSocketChannel> listener() {
         return NATIVE ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
     }
 }
--- a/src/main/java/willowyoke/net/ClientListener.java
+++ b/src/main/java/willowyoke/net/ClientListener.java
@@ -20,6 +20,7 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import willowyoke.loop.Transport;
 
 /** Clients' connections: commands in, answers out in the order of the commands. */
 final class ClientListener {
--- a/src/main/java/willowyoke/net/CounterClient.java
+++ b/src/main/java/willowyoke/net/CounterClient.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import willowyoke.Gateway;
+import willowyoke.loop.Transport;
 
 /** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
 final class CounterClient {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -22,12 +22,18 @@
 import java.util.function.Consumer;
 import willowyoke.Gateway;
 import willowyoke.config.Config;
+import willowyoke.loop.Loop;
+import willowyoke.loop.Transport;
+import willowyoke.membership.Entry;
+import willowyoke.membership.Limits;
+import willowyoke.net.discovery.Members;
+import willowyoke.net.discovery.MembersJson;
 
 /**
  * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
  * All of it runs on one event loop thread, the module too. It decides nothing.
  */
-public final class Node implements Gateway.Actions {
+public final class Node implements Gateway.Actions, Loop, Members.View {
     /** How a decision module is made. */
     public interface Maker {
         Gateway.Events start(Gateway.Settings settings, long seed, double now, Gateway.Actions actions);
@@ -92,7 +98,7 @@
     private final ClientListener clients;
     private final ServerPool servers;
     private final CounterClient counter;
-    private final Discovery discovery;
+    private final Members discovery;
     private final CompletableFuture<Void> ended = new CompletableFuture<>();
     private Gateway.Events module;
     private long lastId;
@@ -108,7 +114,8 @@
         servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
-        discovery = new Discovery(this, group, config);
+        discovery = new Members(this, this, Limits.defaults(config.settings().rules().warmAfter()),
+            config.discovery(), Members.agent(config.discovery()));
     }
 
     // ---- life ----
@@ -123,7 +130,7 @@
                 ready.completeExceptionally(e);
                 return;
             }
-            discovery.start(config.known());
+            discovery.start(config.known() == null ? null : MembersJson.of(config.known(), this::say));
             counter.start();
             servers.start();
             clients.start();
@@ -160,7 +167,7 @@
     /** A new configuration: discovery and counter may have moved. Any thread may bring it. */
     public void reload(Config told) {
         group.execute(() -> guarded(() -> {
-            discovery.move(told.discovery());
+            discovery.move(told.discovery(), Members.agent(told.discovery()));
             counter.move(told.counter());
         }));
     }
@@ -197,12 +204,11 @@
      * The module's clock: milliseconds of one monotonic clock, set once to Unix time. So born_ms needs no
      * translation, and the names on the counter, which the module cuts by time, are alike at all edge nodes.
      */
-    double now() {
+    @Override public double now() {
         return startedMs + (System.nanoTime() - startedNanos) / 1e6;
     }
 
-    /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
-    Future<?> after(double delay, Runnable what) {
+    @Override public Future<?> after(double delay, Runnable what) {
         long nanos = Math.max(0, Math.round(delay * 1e6));
         return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
     }
@@ -232,12 +238,19 @@
         }
     }
 
-    void log(String where, Throwable what) {
-        if (++logged > LOGGED) {
-            return;
-        }
+    @Override public void log(String where, Throwable what) {
         StackTraceElement[] at = what.getStackTrace();
-        System.err.println(where + ": " + what + (at.length > 0 ? " at " + at[0] : ""));
+        say(where + ": " + what + (at.length > 0 ? " at " + at[0] : ""));
+    }
+
+    @Override public void say(String line) {
+        if (++logged <= LOGGED) {
+            System.err.println(line);
+        }
+    }
+
+    @Override public EventLoopGroup group() {
+        return group;
     }
 
     void flushLater(Channel channel) {
@@ -245,7 +258,7 @@
     }
 
     /** Writes out what the events of this round have left on the connections. */
-    void flush() {
+    @Override public void flush() {
         if (!dirty.isEmpty()) {
             Channel[] all = dirty.toArray(new Channel[0]);
             dirty.clear();
@@ -375,24 +388,32 @@
     }
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
-    void listed(List<Discovery.Member> members, boolean whole) {
-        servers.listed(members, whole);
-        List<Gateway.Server> list = new ArrayList<>(members.size());
-        for (Discovery.Member m : members) {
-            list.add(m.server());
+    @Override public void listed(List<Entry> entries, boolean whole) {
+        servers.listed(entries, whole);
+        List<Gateway.Server> list = new ArrayList<>(entries.size());
+        for (Entry e : entries) {
+            list.add(e.server());
         }
         tell(m -> m.servers(now(), list, whole));
     }
 
-    /** Discovery's address refuses: another may be in force, and nobody have said so. */
-    void discoveryRefuses() {
+    @Override public void discoveryRefuses() {
         lost.run();
     }
 
-    void discoveryFailed() {
+    @Override public void discoveryFailed() {
         tell(m -> m.discoveryFailed(now()));
     }
 
+    @Override public void tryOut(String id) {
+        servers.tryOut(id);
+    }
+
+    /** What connections to servers show of them. */
+    Members health() {
+        return discovery;
+    }
+
     // ---- actions of the module ----
 
     @Override public void send(long id, String server, double until) {
@@ -454,7 +475,6 @@
         counter.add(name, amount, keepFor);
     }
 
-    @Override public void subscribe() {
-        discovery.subscribe();
-    }
+    /** The watch stands or is being renewed all the time. */
+    @Override public void subscribe() { }
 }
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -7,12 +7,14 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Arrays;
@@ -26,6 +28,9 @@
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
 import willowyoke.config.Config;
+import willowyoke.loop.Transport;
+import willowyoke.membership.Entry;
+import willowyoke.net.discovery.Addresses;
 
 /**
  * Connections to app servers, and the attempts and probes on them. A connection carries one request at a
@@ -67,6 +72,8 @@
 
     /** A server as the list has it, with its connections. */
     private static final class Target {
+        final String id;
+        final String told;
         final InetSocketAddress dial;
         final ArrayDeque<Link> idle = new ArrayDeque<>();
         final Set<Link> links = new LinkedHashSet<>();
@@ -74,8 +81,10 @@
         int connecting;
         boolean up;
 
-        Target(InetSocketAddress dial) {
-            this.dial = dial;
+        Target(String id, String told) {
+            this.id = id;
+            this.told = told;
+            dial = Addresses.parse(told);
         }
 
         /** Writes on the connection that was used last, of those that have rested; false where none has. */
@@ -115,7 +124,7 @@
 
     // ---- the list ----
 
-    void listed(List<Discovery.Member> members, boolean whole) {
+    void listed(List<Entry> members, boolean whole) {
         if (whole) {
             Set<String> kept = new HashSet<>();
             members.forEach(m -> kept.add(m.server().id()));
@@ -125,7 +134,7 @@
                 }
             }
         }
-        for (Discovery.Member m : members) {
+        for (Entry m : members) {
             String id = m.server().id();
             Target old = targets.get(id);
             if (m.server().state() == Gateway.State.GONE) {
@@ -133,9 +142,9 @@
                 continue;
             }
             Target t = old;
-            if (old == null || !old.dial.equals(m.dial())) {
+            if (old == null || !old.told.equals(m.dial())) {
                 leave(old);
-                t = new Target(m.dial());
+                t = new Target(id, m.dial());
                 targets.put(id, t);
             }
             t.up = m.server().state() == Gateway.State.UP;
@@ -163,6 +172,16 @@
         }
     }
 
+    /** A connect to a server that is shown down, to see whether it lives; kept where that brings it back. */
+    void tryOut(String id) {
+        Target t = targets.get(id);
+        if (t != null && t.up && !t.links.isEmpty()) {
+            node.health().reachable(id); // a process that died would have reset it
+        } else if (t != null && t.connecting == 0 && (open < most || spare())) {
+            connect(t);
+        }
+    }
+
     void start() {
         node.after(SWEEP, this::sweep);
     }
@@ -282,6 +301,16 @@
         }).connect(t.dial);
         connected.addListener(f -> {
             t.connecting--;
+            boolean current = targets.get(t.id) == t; // of an address that was left it tells nothing
+            if (f.isSuccess()) {
+                t.links.add(link);
+                if (current) {
+                    node.health().reachable(t.id); // which may bring it back up
+                }
+            } else if (f.cause() instanceof ConnectException && current) {
+                node.health().unreachable(t.id, !(f.cause() instanceof ConnectTimeoutException),
+                    t.links.size());
+            }
             if (!f.isSuccess()) {
                 open--;
                 // every attempt that waits began a connection: one too few now, and the oldest goes without
@@ -290,10 +319,8 @@
                     node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
                 }
             } else if (!t.up) {
-                t.links.add(link);
                 link.channel.close();
             } else {
-                t.links.add(link);
                 link.free();
                 link.usedAt -= REST; // nothing has been answered on it
                 serve(t);
@@ -368,6 +395,7 @@
             if (msg instanceof ArrayRedisMessage array && !array.isNull() && array.children().size() == PARTS
                 && Resp.isValue(array.children().get(0)) && a.request != null) {
                 List<RedisMessage> parts = array.children();
+                node.health().answered(target.id);
                 end(a, Gateway.Outcome.OK, parts.get(0), load(Resp.text(parts.get(2))));
             } else if (msg instanceof ErrorRedisMessage error) {
                 String text = error.content();
--- /dev/null
+++ b/src/main/java/willowyoke/net/discovery/AgentSource.java
@@ -0,0 +1,562 @@
+package willowyoke.net.discovery;
+
+import com.fasterxml.jackson.core.JacksonException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import willowyoke.loop.Loop;
+import willowyoke.loop.Transport;
+import willowyoke.membership.Source;
+
+/**
+ * This platform's discovery: an agent on the same machine that answers at once. Two eyes, as no connection
+ * that is silent can be told from one that has nothing to say: a watch, and the whole list asked on another
+ * connection every {@link #LOOK} ms. A look that is not answered within {@link #LATE} ms is left and asked
+ * once more on a new connection, so that a drain is known after LOOK + LATE at the latest, wherever one
+ * connection has stalled.
+ *
+ * <p>A list longer than {@link #LOOKED} bytes is too dear to be asked so often: then the watch itself is
+ * opened anew each time that it has said nothing for LOOK ms, from the last version, and the one before is
+ * ended.
+ *
+ * <p>While discovery is down all are silent: unanswered looks become rarer, to one each {@link #LOOK_MOST}
+ * ms, and those asked before stay open, as it tells those first when it is back.
+ */
+public final class AgentSource implements Source {
+    static final double LOOK = 100;
+    static final double LATE = 60;
+    static final double LOOK_MOST = 800;
+    static final int LOOKED = 48 << 10;
+    private static final String PATH = "/catalog/members";
+    /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
+    private static final double SILENT = 5000;
+    /** Lines come whole: half a line with nothing behind it for so long (ms) is all that comes. */
+    private static final double HALF = 80;
+    /** A look was ahead of the watch for so long (ms): the watch is opened anew. */
+    private static final double BEHIND = 80;
+    private static final int CONNECT = 1000;
+    /** After a connection that worked the next is tried at once (ms). */
+    private static final double BACKOFF = 10;
+    private static final double BACKOFF_MOST = 2000;
+    /** No list is as long as this (bytes); one that grows past it ends its connection. */
+    private static final int LONGEST = 8 << 20;
+    /** Looks that may be open at once: the one asked, and one that was not answered. */
+    private static final int LOOKS = 2;
+    /** An answer that still grows is waited for, but no longer than this (ms). */
+    private static final double TRICKLE = 400;
+
+    private final Loop loop;
+    private final Sink sink;
+    private final InetSocketAddress address;
+    private final String space;
+    private final Bootstrap bootstrap;
+    private final List<Conn> looks = new ArrayList<>();
+    private Conn watch;
+    private Conn before;
+    private boolean connecting;
+    private boolean left;
+    private boolean over;
+    private int open;
+    private int unanswered;
+    private double nextLook;
+    private double backoff = BACKOFF;
+    private double renewed = Double.NEGATIVE_INFINITY;
+    private double renewWait = LOOK;
+    private byte[] same = new byte[0];
+    private long sameSeq = -1;
+    private int longest;
+    private String said = "";
+
+    public AgentSource(Loop loop, Sink sink, InetSocketAddress address, String space) {
+        this.loop = loop;
+        this.sink = sink;
+        this.address = address;
+        this.space = space;
+        bootstrap = new Bootstrap().group(loop.group()).channel(Transport.socket())
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT).option(ChannelOption.TCP_NODELAY, true);
+    }
+
+    @Override public void start() {
+        watch();
+        loop.after(LOOK, this::tick);
+    }
+
+    @Override public void askAnew() {
+        same = new byte[0];
+        sameSeq = -1;
+        for (Conn c : looks.toArray(new Conn[0])) {
+            c.close();
+        }
+        if (watch != null) {
+            Conn old = watch;
+            watch = null;
+            old.close();
+            watch();
+        }
+    }
+
+    @Override public void leave(double within) {
+        left = true;
+        for (Conn c : looks.toArray(new Conn[0])) {
+            c.close();
+        }
+        loop.after(within, () -> {
+            over = true;
+            if (watch != null) {
+                watch.close();
+            }
+            if (before != null) {
+                before.close();
+            }
+            ended();
+        });
+    }
+
+    /** The same fault comes with every look: it is told once. */
+    private void say(String what) {
+        if (!what.equals(said)) {
+            said = what;
+            loop.say("discovery: " + what);
+        }
+    }
+
+    private static String firstLine(String text) {
+        String all = String.valueOf(text);
+        int end = all.indexOf('\n');
+        return end < 0 ? all : all.substring(0, end);
+    }
+
+    private void ended() {
+        if (left && open == 0) {
+            sink.ended(space);
+        }
+    }
+
+    // ---- the watch ----
+
+    private void watch() {
+        if (connecting || watch != null || left) {
+            return;
+        }
+        connecting = true;
+        connect(new Conn(true));
+    }
+
+    private void watchFailed(boolean refused) {
+        connecting = false;
+        if (left) {
+            return;
+        }
+        sink.failed(space, refused);
+        loop.after(backoff, this::watch);
+        backoff = Math.min(2 * backoff, BACKOFF_MOST);
+    }
+
+    /** A watch beside the one that stands, which ends as soon as this one has begun to answer. */
+    private void renew() {
+        double now = loop.now();
+        if (connecting || now - renewed < renewWait) {
+            return;
+        }
+        if (before != null) { // the newest has not begun to answer either
+            before.close();
+        }
+        renewed = now;
+        before = watch;
+        watch = null;
+        watch();
+    }
+
+    // ---- looks ----
+
+    private void tick() {
+        if (left) {
+            return;
+        }
+        loop.after(LOOK / 2, this::tick);
+        double now = loop.now();
+        if (watch != null && now - watch.heardAt > SILENT) {
+            watch.close();
+        }
+        if (now < nextLook) {
+            return;
+        }
+        if (longest > LOOKED) {
+            renewWait = LOOK;
+            if (watch != null && watch.asked && now - watch.heardAt >= LOOK - 1) {
+                renew();
+            }
+            nextLook = now + LOOK / 2;
+            return;
+        }
+        look();
+    }
+
+    private void look() {
+        double wait = unanswered < LOOKS ? LOOK : Math.min(LOOK_MOST, LOOK * (1 << Math.min(unanswered - 1, 4)));
+        nextLook = loop.now() + wait - 1;
+        for (Conn c : looks) {
+            if (!c.asked && c.channel != null) {
+                c.ask();
+                return;
+            }
+        }
+        if (looks.size() >= LOOKS) {
+            looks.get(0).close(); // the one that has been silent longest
+        }
+        Conn c = new Conn(false);
+        looks.add(c);
+        connect(c);
+    }
+
+    /** Asked, and not answered whole: it has stalled, unless bytes came just now. */
+    private void late(Conn c, int turn, double asked) {
+        if (c.turn != turn || !c.asked || c.closed || left) {
+            return;
+        }
+        double now = loop.now();
+        if (c.total > 0 && now - c.heardAt < LATE / 2 && now - asked < TRICKLE) {
+            loop.after(LATE / 2, () -> late(c, turn, asked));
+            return;
+        }
+        unanswered++;
+        if (unanswered <= LOOKS) {
+            look();
+        }
+    }
+
+    private void answered() {
+        unanswered = 0;
+    }
+
+    // ---- one connection ----
+
+    private void connect(Conn c) {
+        open++;
+        bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+            @Override protected void initChannel(SocketChannel channel) {
+                channel.pipeline().addLast(new HttpClientCodec(), c);
+            }
+        }).connect(address).addListener(f -> {
+            if (f.isSuccess()) {
+                return;
+            }
+            open--;
+            c.closed = true;
+            looks.remove(c);
+            boolean refused = f.cause() instanceof ConnectException
+                && !(f.cause() instanceof ConnectTimeoutException);
+            if (c.watching) {
+                if (before != null) { // the one that stands goes on
+                    watch = before;
+                    before = null;
+                }
+                watchFailed(refused);
+            }
+            ended();
+        });
+    }
+
+    private final class Conn extends SimpleChannelInboundHandler<HttpObject> {
+        private final boolean watching;
+        private Channel channel;
+        private byte[] line = new byte[512];
+        private int size;
+        private int total;
+        private int turn;
+        private boolean asked;
+        private boolean following;
+        private boolean good;
+        private boolean timed;
+        private boolean closed;
+        private double heardAt;
+        private long lines;
+        private long seq = -1;
+        private double behindSince = Double.NaN;
+
+        Conn(boolean watching) {
+            this.watching = watching;
+        }
+
+        @Override public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            if (left || closed) {
+                ctx.close();
+                return;
+            }
+            if (watching) {
+                connecting = false;
+                watch = this;
+            }
+            ask();
+        }
+
+        /** Asks for the list, or on the watch for what follows the last version. */
+        void ask() {
+            asked = true;
+            turn++;
+            size = 0;
+            total = 0;
+            heardAt = loop.now();
+            long since = sink.version(space);
+            following = watching && since >= 0;
+            seq = Math.max(seq, since);
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                following ? PATH + "?follow=1&since=" + since : PATH);
+            request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
+            channel.writeAndFlush(request);
+            if (!watching) {
+                int now = turn;
+                double at = heardAt;
+                loop.after(LATE, () -> late(this, now, at));
+            } else if (!following) {
+                int now = turn;
+                loop.after(LATE, () -> listLate(now, 0));
+            }
+        }
+
+        /** The watch's own first list has stalled. */
+        private void listLate(int asking, int had) {
+            if (turn == asking && !closed && !following && asked) {
+                if (total > had) {
+                    int have = total;
+                    loop.after(LATE, () -> listLate(asking, have));
+                } else if (total > 0) {
+                    close(); // it had begun: nothing more comes
+                }
+            }
+        }
+
+        void close() {
+            closed = true;
+            if (channel != null) {
+                channel.close();
+            }
+            looks.remove(this);
+        }
+
+        @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject msg) throws IOException {
+            heardAt = loop.now();
+            if (msg.decoderResult().isFailure()) {
+                if (msg.decoderResult().cause() instanceof PrematureChannelClosureException) {
+                    ctx.close();
+                    return;
+                }
+                throw new MembersJson.NotAList("no HTTP: " + msg.decoderResult().cause().getMessage());
+            }
+            if (msg instanceof HttpResponse response) {
+                good = response.status().code() == 200;
+                if (watching && before != null && before != this) {
+                    before.close();
+                }
+            }
+            if (msg instanceof HttpContent content && good) {
+                take(ctx, content.content());
+            }
+            if (msg instanceof LastHttpContent) {
+                whole(ctx);
+            }
+        }
+
+        private void take(ChannelHandlerContext ctx, ByteBuf in) throws IOException {
+            total += in.readableBytes();
+            if (!following) {
+                append(in, in.readableBytes(), ctx);
+                return;
+            }
+            while (in.isReadable() && !closed) {
+                int end = in.bytesBefore((byte) '\n');
+                append(in, end < 0 ? in.readableBytes() : end, ctx);
+                if (end >= 0) {
+                    in.skipBytes(1);
+                    lines++;
+                    int length = size;
+                    size = 0;
+                    line(length);
+                }
+            }
+        }
+
+        private void append(ByteBuf in, int length, ChannelHandlerContext ctx) {
+            if (size + length > LONGEST) {
+                say("a list of more than " + LONGEST + " bytes at " + space + " is not taken");
+                in.skipBytes(in.readableBytes());
+                closed = true;
+                ctx.close();
+                return;
+            }
+            if (size + length > line.length) {
+                line = Arrays.copyOf(line, Math.min(LONGEST, Math.max(2 * line.length, size + length)));
+            }
+            in.readBytes(line, size, length);
+            size += length;
+        }
+
+        /** A line of the watch. */
+        private void line(int length) throws IOException {
+            backoff = BACKOFF;
+            if (blank(length)) {
+                sink.heard(space);
+                return;
+            }
+            MembersJson told = MembersJson.read(line, length, this::bad);
+            longest = told.whole() ? length : longest;
+            seq = Math.max(seq, told.seq());
+            behindSince = Double.NaN;
+            sink.told(space, told.seq(), told.whole(), told.entries());
+            if (line.length > LOOKED) {
+                line = new byte[512]; // a long one is rare, and idle memory for ever
+            }
+        }
+
+        private boolean blank(int length) {
+            for (int i = 0; i < length; i++) {
+                if (line[i] > ' ') {
+                    return false;
+                }
+            }
+            return true;
+        }
+
+        private void bad(String what) {
+            say("an entry at " + space + " is left out: " + what);
+        }
+
+        /** An answer has ended. */
+        private void whole(ChannelHandlerContext ctx) throws IOException {
+            if (!good || following || closed || !asked) {
+                ctx.close(); // a watch that has ended, or no list
+                return;
+            }
+            asked = false;
+            boolean list = list();
+            if (watching && list) {
+                backoff = BACKOFF;
+                if (left) {
+                    ctx.close();
+                } else {
+                    ask(); // the watch goes on from the list
+                }
+            } else if (!list) {
+                ctx.close();
+            } else {
+                answered();
+            }
+        }
+
+        /** Takes a whole list; false where it is none. */
+        private boolean list() throws IOException {
+            int length = size;
+            size = 0;
+            longest = length;
+            if (length == same.length && length > 0
+                && Arrays.equals(line, 0, length, same, 0, length) && sink.again(space, sameSeq)) {
+                ahead(sameSeq);
+                return true;
+            }
+            if (blank(length)) {
+                return false;
+            }
+            MembersJson told = MembersJson.read(line, length, this::bad);
+            if (length <= LOOKED) {
+                same = Arrays.copyOf(line, length);
+                sameSeq = told.seq();
+            }
+            sink.told(space, told.seq(), told.whole(), told.entries());
+            if (watching) {
+                seq = told.seq();
+            }
+            ahead(told.seq());
+            return true;
+        }
+
+        /** A look that knows more than the watch, for longer than lines take: the watch has stalled. */
+        private void ahead(long told) {
+            Conn w = watch;
+            if (watching || w == null || !w.following || told <= w.seq) {
+                if (w != null && told <= w.seq) {
+                    w.behindSince = Double.NaN;
+                    renewWait = LOOK;
+                }
+                return;
+            }
+            double now = loop.now();
+            if (Double.isNaN(w.behindSince)) {
+                w.behindSince = now;
+            } else if (now - w.behindSince >= BEHIND) {
+                renew();
+                renewWait = Math.min(2 * renewWait, BACKOFF_MOST);
+            }
+        }
+
+        @Override public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (following && size > 0 && !timed) {
+                half(lines, size);
+            }
+            loop.flush();
+        }
+
+        /** Waits for more of this line; one that grows is waited for again. */
+        private void half(long had, int length) {
+            timed = true;
+            loop.after(HALF, () -> {
+                timed = false;
+                if (closed) {
+                    return;
+                }
+                if (lines == had && size == length) {
+                    channel.close();
+                } else if (size > 0) {
+                    half(lines, size);
+                }
+            });
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            closed = true;
+            open--;
+            boolean was = looks.remove(this);
+            if (this == watch) {
+                watch = null;
+                watchFailed(false);
+            } else if (this == before) {
+                before = null;
+            } else if (was && asked && !left) {
+                unanswered++;
+                nextLook = unanswered <= LOOKS ? 0 : nextLook;
+            }
+            ended();
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (cause instanceof JacksonException || cause instanceof MembersJson.NotAList) {
+                say("an answer at " + space + " is not taken: " + firstLine(cause.getMessage()));
+            } else if (!(cause instanceof IOException)) {
+                loop.log("discovery", cause);
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/willowyoke/net/discovery/Members.java
@@ -0,0 +1,231 @@
+package willowyoke.net.discovery;
+
+import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import willowyoke.loop.Loop;
+import willowyoke.membership.Entry;
+import willowyoke.membership.Limits;
+import willowyoke.membership.Membership;
+import willowyoke.membership.Source;
+
+/**
+ * Carries out what {@link Membership} decides: feeds it what sources and connections say, and tells its
+ * view.
+ */
+public final class Members implements Source.Sink {
+    /** Who is told the view. */
+    public interface View {
+        /** Servers that have changed, or all where whole. */
+        void listed(List<Entry> entries, boolean whole);
+
+        /** A call to discovery failed. */
+        void discoveryFailed();
+
+        /** Discovery refuses every connection. */
+        void discoveryRefuses();
+
+        /**
+         * Tries a connect to a server, and tells {@link Members#reachable} or {@link Members#unreachable}.
+         */
+        void tryOut(String id);
+    }
+
+    /** How a source is made. */
+    public interface Maker {
+        Source make(Loop loop, Source.Sink sink, String space);
+    }
+
+    /**
+     * A source that was left may tell for so long (ms) still: the platform's old agent closes after 1.5 s.
+     */
+    private static final double LEFT = 2000;
+    /** So many refusals in a row are no restart of an agent. */
+    private static final int REFUSED = 4;
+    /** Between tries of a server that is dead or held (ms). */
+    private static final double TRY = 250;
+
+    private final Loop loop;
+    private final View view;
+    private final Membership core;
+    private final CompletableFuture<Void> ready = new CompletableFuture<>();
+    private Maker maker;
+    private Object place;
+    private Source source;
+    private String space;
+    private int spaces;
+    private int refused;
+    private boolean trying;
+    private Future<?> timer;
+    private double timerAt = Double.POSITIVE_INFINITY;
+
+    /**
+     * @param place what names the place of discovery, for comparison with a later one
+     * @param maker makes a source for it
+     */
+    public Members(Loop loop, View view, Limits limits, Object place, Maker maker) {
+        this.loop = loop;
+        this.view = view;
+        this.place = place;
+        this.maker = maker;
+        space = name(place);
+        core = new Membership(limits, space);
+    }
+
+    /** For this platform: the agent at an address. */
+    public static Maker agent(InetSocketAddress address) {
+        return (loop, sink, space) -> new AgentSource(loop, sink, address, space);
+    }
+
+    /** Done when discovery itself has told its list. */
+    public CompletableFuture<Void> ready() {
+        return ready;
+    }
+
+    /** What was known at the start serves until discovery answers; null where nothing was. */
+    public void start(MembersJson known) {
+        if (known != null) {
+            apply(core.known(loop.now(), known.seq(), known.entries()));
+        }
+        source = maker.make(loop, this, space);
+        source.start();
+    }
+
+    /**
+     * Discovery is at another place now; the old one counts until the new one has told, and a while longer.
+     */
+    public void move(Object to, Maker how) {
+        if (to.equals(place)) {
+            return;
+        }
+        place = to;
+        maker = how;
+        space = name(to);
+        core.move(loop.now(), space);
+        if (source != null) {
+            source.leave(LEFT);
+            source = maker.make(loop, this, space);
+            source.start();
+        }
+    }
+
+    /** Names of spaces differ, also where discovery moves back: it may have started anew meanwhile. */
+    private String name(Object of) {
+        return of.toString().replaceFirst("^.*/", "") + (spaces++ == 0 ? "" : "#" + spaces);
+    }
+
+    public Membership.Figures figures() {
+        return core.figures(loop.now());
+    }
+
+    // ---- from sources ----
+
+    @Override public long version(String of) {
+        return of.equals(space) ? core.version() : -1;
+    }
+
+    @Override public void told(String of, long seq, boolean whole, List<Entry> entries) {
+        apply(core.told(loop.now(), of, seq, whole, entries));
+        heardOf(of);
+    }
+
+    @Override public boolean again(String of, long seq) {
+        boolean same = core.again(loop.now(), of, seq);
+        if (same) {
+            heardOf(of);
+        }
+        return same;
+    }
+
+    @Override public void heard(String of) {
+        apply(core.heard(loop.now(), of));
+        heardOf(of);
+    }
+
+    private void heardOf(String of) {
+        if (of.equals(space)) {
+            refused = 0;
+            ready.complete(null);
+        }
+    }
+
+    @Override public void failed(String of, boolean wasRefused) {
+        if (!of.equals(space)) {
+            return;
+        }
+        refused = wasRefused ? refused + 1 : 0;
+        if (refused >= REFUSED) {
+            view.discoveryRefuses();
+        }
+        view.discoveryFailed();
+    }
+
+    @Override public void ended(String of) {
+        apply(core.ended(loop.now(), of));
+    }
+
+    // ---- from connections to servers ----
+
+    public void answered(String id) {
+        Membership.Changes changes = core.answered(loop.now(), id);
+        if (changes != Membership.Changes.NONE) { // as with nearly every answer
+            apply(changes);
+        }
+    }
+
+    public void reachable(String id) {
+        apply(core.reachable(loop.now(), id));
+    }
+
+    public void unreachable(String id, boolean wasRefused, int standing) {
+        apply(core.unreachable(loop.now(), id, wasRefused, standing));
+    }
+
+    // ---- the view ----
+
+    private void apply(Membership.Changes changes) {
+        for (String note : changes.notes()) {
+            loop.say("servers: " + note);
+        }
+        if (!changes.entries().isEmpty()) {
+            view.listed(changes.entries(), changes.whole());
+        }
+        if (changes.askAnew() && source != null) {
+            source.askAnew();
+        }
+        tryOut();
+        arm();
+    }
+
+    private void tryOut() {
+        if (trying || core.toTry().isEmpty()) {
+            return;
+        }
+        trying = true;
+        loop.after(TRY, () -> {
+            trying = false;
+            Collection<String> all = new ArrayList<>(core.toTry());
+            all.forEach(view::tryOut);
+            tryOut();
+        });
+    }
+
+    private void arm() {
+        double at = core.next();
+        if (at >= timerAt) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerAt = at;
+        timer = loop.after(Math.max(1, at - loop.now()), () -> {
+            timerAt = Double.POSITIVE_INFINITY;
+            timer = null;
+            apply(core.tick(loop.now()));
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/willowyoke/net/StallTest.java
@@ -0,0 +1,184 @@
+package willowyoke.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowyoke.standin.Agent;
+
+/**
+ * A drain is honoured within the grace wherever discovery's answers stall, to the byte: sends are timed at
+ * the server's socket. The machine's own lateness is measured beside it and allowed for, so that a busy one
+ * gives the same verdict.
+ */
+@Timeout(180)
+class StallTest {
+    private static final int RIGS = 4;
+
+    /** One round on a rig: ms from told to the last send. */
+    private interface Round {
+        double run(Rig rig, int offset) throws Exception;
+    }
+
+    /** How late this machine wakes a thread: the most (ms) since it was last asked. */
+    private static final class Lateness implements AutoCloseable {
+        private volatile long most;
+        private final Thread thread = new Thread(() -> {
+            long before = System.nanoTime();
+            while (!Thread.currentThread().isInterrupted()) {
+                try {
+                    Thread.sleep(2);
+                } catch (InterruptedException e) {
+                    return;
+                }
+                long now = System.nanoTime();
+                most = Math.max(most, now - before - 2_000_000);
+                before = now;
+            }
+        }, "lateness");
+
+        Lateness() {
+            thread.setDaemon(true);
+            thread.setPriority(Thread.MIN_PRIORITY);
+            thread.start();
+        }
+
+        double take() {
+            double ms = most / 1e6;
+            most = 0;
+            return ms;
+        }
+
+        @Override public void close() {
+            thread.interrupt();
+        }
+    }
+
+    private static void everyOffset(String what, int from, int offsets, Round round) throws Exception {
+        AtomicInteger next = new AtomicInteger(from);
+        List<Double> took = Collections.synchronizedList(new ArrayList<>());
+        List<String> late = Collections.synchronizedList(new ArrayList<>());
+        ExecutorService threads = Executors.newFixedThreadPool(RIGS);
+        List<Future<?>> all = new ArrayList<>();
+        for (int i = 0; i < RIGS; i++) {
+            all.add(threads.submit((Callable<Void>) () -> {
+                try (Rig rig = new Rig(new Agent(40)); Lateness lateness = new Lateness()) {
+                    for (int k = next.getAndIncrement(); k < from + offsets; k = next.getAndIncrement()) {
+                        lateness.take();
+                        double ms = round.run(rig, k);
+                        took.add(ms);
+                        double allowed = Rig.GRACE + 3 * lateness.take();
+                        if (ms > allowed) {
+                            late.add(what + " at byte " + k + ": " + ms + " ms, allowed " + allowed);
+                        }
+                    }
+                }
+                return null;
+            }));
+        }
+        for (Future<?> f : all) {
+            f.get();
+        }
+        threads.shutdown();
+        Collections.sort(took);
+        System.out.printf("%s, %d offsets, told to last send: median %.0f ms, worst %.0f ms%n", what, took.size(),
+            took.get(took.size() / 2), took.get(took.size() - 1));
+        assertEquals(List.of(), late);
+        assertEquals(offsets, took.size());
+    }
+
+    private static int head() {
+        return "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n".length();
+    }
+
+    /**
+     * The watch sends so many bytes and stalls, wherever that is: in its head, in a chunk's, in a line,
+     * behind.
+     */
+    @Test void aWatchThatStallsAtAnyByte() throws Exception {
+        int whole = head() + "1\r\n\n\r\n".length() + 170;
+        everyOffset("watch stalls", 0, whole, (rig, k) -> {
+            String id = "w" + k;
+            rig.agent.set(rig.host(id, "active"));
+            rig.serves(id);
+            rig.agent.stall(Agent.Kind.WATCH, k, 1);
+            rig.agent.reset();
+            Rig.await("a new watch", () -> rig.agent.stalled());
+            long told = System.nanoTime();
+            rig.agent.set(rig.host(id, "leaving"));
+            double ms = rig.drained(id, told);
+            rig.agent.set(rig.host(id, "left"));
+            return ms;
+        });
+    }
+
+    /** Both eyes at once: the watch stops dead, and the next look's answer stalls at any byte. */
+    @Test void aWatchAndTheNextLookThatStallAtAnyByte() throws Exception {
+        int whole = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 155\r\n\r\n".length() + 155;
+        everyOffset("watch and look stall", 0, whole, (rig, k) -> {
+            String id = "l" + k;
+            rig.agent.set(rig.host(id, "active"));
+            rig.serves(id);
+            rig.agent.stallNow(Agent.Kind.WATCH);
+            rig.agent.stall(Agent.Kind.LIST, k, 1);
+            long told = System.nanoTime();
+            rig.agent.set(rig.host(id, "leaving"));
+            double ms = rig.drained(id, told);
+            rig.agent.set(rig.host(id, "left"));
+            return ms;
+        });
+    }
+
+    /** Discovery moves; what the new one sends first stalls at any byte, and the old one goes silent. */
+    @Test void aMoveToOneThatStallsAtAnyByte() throws Exception {
+        int whole = 80 + 155 + head() + 20;
+        everyOffset("move, and the first list stalls", 0, whole / 3, (rig, k) -> {
+            String id = "m" + k;
+            Agent old = rig.agent;
+            old.set(rig.host(id, "active"));
+            rig.serves(id);
+            Agent next = new Agent(7);
+            next.set(rig.host(id, "active"));
+            next.stall(Agent.Kind.LIST, 3L * k, 1);
+            rig.move(next);
+            old.stallNow(Agent.Kind.WATCH);
+            Rig.await("the new one is asked", next::stalled);
+            long told = System.nanoTime();
+            next.set(rig.host(id, "leaving"));
+            double ms = rig.drained(id, told);
+            old.close();
+            return ms;
+        });
+    }
+
+    /** Silent for a while during a release of all servers, then all at once: each told is honoured. */
+    @Test void allIsToldAtOnceAfterASilence() throws Exception {
+        try (Rig rig = new Rig(new Agent(40))) {
+            for (int i = 0; i < 10; i++) {
+                rig.agent.set(rig.host("a" + i, "active"));
+            }
+            rig.serves("a3");
+            rig.agent.silent(true);
+            for (int i = 0; i < 10; i++) {
+                rig.agent.set(rig.host("a" + i, "left"));
+                rig.agent.set(rig.host("b" + i, "active"));
+            }
+            Thread.sleep(3000);
+            assertTrue(rig.view.get("a3") == willowyoke.Gateway.State.UP, "nothing was told yet");
+            long told = System.nanoTime();
+            rig.agent.silent(false);
+            double ms = rig.drained("a3", told);
+            assertTrue(ms < Rig.GRACE, "took " + ms);
+            rig.serves("b7");
+        }
+    }
+}
