--- a/src/main/java/willowyoke/membership/Membership.java
+++ b/src/main/java/willowyoke/membership/Membership.java
@@ -554,6 +554,7 @@
                 }
                 it.remove();
                 touched.addAll(s.entries.keySet());
+                touched.addAll(s.gone.keySet());
             }
         }
         if (!Double.isNaN(current.staleSince) && now >= current.staleSince + limits.doubt()) {
--- a/src/main/java/willowyoke/net/discovery/HttpSource.java
+++ b/src/main/java/willowyoke/net/discovery/HttpSource.java
@@ -152,6 +152,7 @@
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
         private String why;
+        private boolean counted = true;
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
             if (left) {
@@ -180,7 +181,6 @@
             }
             if (msg.headers().contains(HttpHeaderNames.CONNECTION, "close", true)) {
                 channel = null;
-                open--;
                 ctx.close();
             }
             loop.after(pause(), HttpSource.this::ask);
@@ -191,10 +191,13 @@
         }
 
         @Override public void channelInactive(ChannelHandlerContext ctx) {
+            open -= counted ? 1 : 0;
+            counted = false;
             if (ctx.channel() == channel) {
                 channel = null;
-                open--;
                 failed(false);
+            } else if (left && open == 0) {
+                sink.ended(space);
             }
         }
 
--- a/src/main/java/willowyoke/net/discovery/Members.java
+++ b/src/main/java/willowyoke/net/discovery/Members.java
@@ -125,9 +125,11 @@
     }
 
     private void change(int to) {
+        String before = space;
         at = to;
         space = name(places.get(to).name);
         core.move(loop.now(), space);
+        loop.after(2 * LEFT, () -> ended(before)); // also where a connection of it never ends
         if (source != null) {
             source.leave(LEFT);
             begin();
--- a/src/test/java/willowyoke/membership/MembershipTest.java
+++ b/src/test/java/willowyoke/membership/MembershipTest.java
@@ -268,6 +268,18 @@
         assertEquals("s0 s2", ups());
     }
 
+    /** A drain told by the old place ends with it, to the moment: also of one that it had told as gone. */
+    @Test void whatTheOldPlaceToldAsGoneIsBackWhenItsWordEnds() {
+        start("s0", "s1", "s2");
+        told(A, 41, false, gone("s1"));
+        core.move(now, B);
+        told(B, 7, true, up("s0"), up("s1"), up("s2"));
+        assertEquals("s0 s2", ups());
+        take(core.ended(now, A));
+        pass(LIMITS.overlay() + 101);
+        assertEquals("s0 s1 s2", ups());
+    }
+
     @Test void aMoveToAndFroTakesEachAsNew() {
         start("s0", "s1");
         core.move(now, B);
