One parser of addresses, one chain of questions a source, and tests owed

Need: a review of membership found three parsers of address:port, of which one resolved names on the event loop; sources that, asked anew while they waited, went on in two chains of questions; a connection closed by the server between two questions counted as a failure; a settings file read only after the warm-up; code that nothing called.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -125,9 +125,9 @@
             return;
         }
         StartLog.ended("configuration");
+        EdgeSettings own = settings == null ? null : settings(settings, config.settings().rules().warmAfter());
         Warmup.run(config.settings(), Decide::new);
         StartLog.ended("warm-up");
-        EdgeSettings own = settings == null ? null : settings(settings, config.settings().rules().warmAfter());
         Node node = new Node(config, Decide::new, own);
         ConfigFile file = new ConfigFile(environment, node::reload, System.err::println);
         node.whenLost(file::suspect);
--- a/src/main/java/willowyoke/config/Config.java
+++ b/src/main/java/willowyoke/config/Config.java
@@ -1,7 +1,10 @@
 package willowyoke.config;
 
+import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -21,6 +24,9 @@
     private static final double KEEP_ALIVE = 15_000;
     private static final double CONNECT_TIMEOUT = 250;
     private static final int SOCKETS = 1024;
+    private static final int PORTS = 65_535;
+    /** So much of a bad address is told. */
+    private static final int SHOWN = 64;
 
     /** Reads the file that EDGE_CONFIG names; the other variables win over it. */
     public static Config fromEnvironment(Map<String, String> env) throws IOException {
@@ -71,15 +77,24 @@
         }
     }
 
-    /** Addresses are numbers: there is no DNS. */
-    public static InetSocketAddress address(String hostAndPort) {
-        int colon = hostAndPort.lastIndexOf(':');
+    /**
+     * Addresses are numbers: there is no DNS, and a name would be looked up where nothing may block.
+     *
+     * @throws IllegalArgumentException where it is not {@code address:port} with a numeric address
+     */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] address = colon < 1 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
-            return new InetSocketAddress(hostAndPort.substring(0, colon),
-                Integer.parseInt(hostAndPort.substring(colon + 1)));
-        } catch (IndexOutOfBoundsException | IllegalArgumentException e) {
-            throw new IllegalArgumentException("address:port expected, found '" + hostAndPort + "'");
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (address != null && port >= 0 && port <= PORTS) {
+                return new InetSocketAddress(InetAddress.getByAddress(address), port);
+            }
+        } catch (NumberFormatException | UnknownHostException e) {
+            // told below
         }
+        throw new IllegalArgumentException("address:port expected, found '"
+            + (text.length() > SHOWN ? text.substring(0, SHOWN) + "..." : text) + "'");
     }
 
     /** The settings as the simulator's wire writes them: a path a value, lists of plain values by commas. */
--- a/src/main/java/willowyoke/config/EdgeSettings.java
+++ b/src/main/java/willowyoke/config/EdgeSettings.java
@@ -63,11 +63,6 @@
         }
     }
 
-    /** Without a file; {@code warm} is the platform's time (ms) for a server to get warm. */
-    public static EdgeSettings defaults(double warm) {
-        return new EdgeSettings(List.of(AGENT), 5000, null, null, null, Limits.defaults(warm));
-    }
-
     /** @throws Refused with every fault of the file */
     public static EdgeSettings read(Path file, double warm) throws IOException, Refused {
         return of(new TomlReader(file), warm);
@@ -99,8 +94,10 @@
             in.text("membership.consul.service", null, "a service's name"),
             in.whole("membership.consul.wait_ms", 5000, 100, 10 * MINUTE),
             path(in.text("membership.consul.token_file", null, "a file's path")));
-        if (consul.tokenFile() != null && !Files.isReadable(consul.tokenFile())) {
-            in.contradiction("membership.consul.token_file", "'" + consul.tokenFile() + "' cannot be read");
+        if (consul.tokenFile() != null && !(Files.isRegularFile(consul.tokenFile())
+            && Files.isReadable(consul.tokenFile()))) {
+            in.contradiction("membership.consul.token_file", "'" + consul.tokenFile()
+                + "' is no file that can be read");
         }
         Eds eds = new Eds(address(in, "membership.eds.address", null),
             in.text("membership.eds.cluster", null, "a cluster's name"),
@@ -108,7 +105,7 @@
             in.whole("membership.eds.refresh_ms", 500, 50, 10 * MINUTE));
         DnsSrv dns = new DnsSrv(in.text("membership.dns_srv.name", null, "a domain name such as _resp._tcp.example"),
             in.texts("membership.dns_srv.servers", List.of(), "a list of address:port",
-                s -> Config.address(numeric(s))),
+                Config::address),
             in.whole("membership.dns_srv.least_ms", 1000, 100, 60 * MINUTE),
             in.whole("membership.dns_srv.most_ms", 30_000, 100, 24L * 60 * MINUTE));
         if (dns.most() < dns.least()) {
@@ -138,27 +135,15 @@
     }
 
     private static String address(TomlReader in, String key, String other) {
-        List<String> one = new java.util.ArrayList<>();
         String text = in.text(key, other, "address:port, numeric");
         if (text != null) {
             try {
-                Config.address(numeric(text));
-                one.add(text);
+                Config.address(text);
             } catch (IllegalArgumentException e) {
                 in.contradiction(key, "found '" + text + "', allowed is address:port, numeric");
             }
         }
-        return one.isEmpty() ? null : one.get(0);
-    }
-
-    /** A name would be looked up where nothing may block. */
-    private static String numeric(String address) {
-        int colon = address.lastIndexOf(':');
-        if (colon < 1 || !io.netty.util.NetUtil.isValidIpV4Address(address.substring(0, colon))
-            && !io.netty.util.NetUtil.isValidIpV6Address(address.substring(0, colon))) {
-            throw new IllegalArgumentException(address);
-        }
-        return address;
+        return text;
     }
 
     private static Path path(String text) {
--- a/src/main/java/willowyoke/net/Node.java
+++ b/src/main/java/willowyoke/net/Node.java
@@ -123,9 +123,9 @@
         counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
             .counterTimeout());
         agent = Members.agent(config.discovery());
-        discovery = new Members(this, this, membership == null
-            ? Limits.defaults(config.settings().rules().warmAfter()) : membership.limits(), membership == null
-            ? List.of(agent) : Sources.of(membership, agent), membership == null ? 0 : membership.failOver());
+        discovery = membership == null
+            ? new Members(this, this, Limits.defaults(config.settings().rules().warmAfter()), List.of(agent), 0)
+            : new Members(this, this, membership.limits(), Sources.of(membership, agent), membership.failOver());
     }
 
     // ---- life ----
@@ -401,7 +401,7 @@
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
     @Override public void listed(List<Entry> entries, boolean whole) {
-        servers.listed(entries, whole);
+        servers.listed(entries);
         List<Gateway.Server> list = new ArrayList<>(entries.size());
         for (Entry e : entries) {
             list.add(e.server());
--- a/src/main/java/willowyoke/net/ServerPool.java
+++ b/src/main/java/willowyoke/net/ServerPool.java
@@ -19,7 +19,6 @@
 import java.util.ArrayDeque;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -30,7 +29,6 @@
 import willowyoke.config.Config;
 import willowyoke.loop.Transport;
 import willowyoke.membership.Entry;
-import willowyoke.net.discovery.Addresses;
 
 /**
  * Connections to app servers, and the attempts and probes on them. A connection carries one request at a
@@ -84,7 +82,7 @@
         Target(String id, String told) {
             this.id = id;
             this.told = told;
-            dial = Addresses.parse(told);
+            dial = Config.address(told);
         }
 
         /** Writes on the connection that was used last, of those that have rested; false where none has. */
@@ -124,16 +122,8 @@
 
     // ---- the list ----
 
-    void listed(List<Entry> members, boolean whole) {
-        if (whole) {
-            Set<String> kept = new HashSet<>();
-            members.forEach(m -> kept.add(m.server().id()));
-            for (String id : targets.keySet().toArray(new String[0])) {
-                if (!kept.contains(id)) {
-                    leave(targets.remove(id));
-                }
-            }
-        }
+    /** Servers that have changed. */
+    void listed(List<Entry> members) {
         for (Entry m : members) {
             String id = m.server().id();
             Target old = targets.get(id);
--- a/src/main/java/willowyoke/net/discovery/AgentSource.java
+++ b/src/main/java/willowyoke/net/discovery/AgentSource.java
@@ -83,7 +83,6 @@
     private Conn before;
     private boolean connecting;
     private boolean left;
-    private boolean over;
     private int open;
     private int unanswered;
     private double nextLook;
@@ -132,7 +131,6 @@
             c.close();
         }
         loop.after(within, () -> {
-            over = true;
             if (watch != null) {
                 watch.close();
             }
@@ -249,6 +247,12 @@
             c.lateness = loop.after(LATE / 2, () -> late(c, turn, asked));
             return;
         }
+        if (c.watching) {
+            if (c.total > 0) { // its first list had begun; before that, discovery may just be down
+                c.close();
+            }
+            return;
+        }
         unanswered++;
         if (unanswered <= LOOKS) {
             look();
@@ -258,7 +262,7 @@
     private void answered(Conn c) {
         unanswered = 0;
         if (c.lateness != null) {
-            c.lateness.cancel(false); // else it wakes the loop for nothing: a third of a look's cost
+            c.lateness.cancel(false); // else it wakes the loop for nothing
             c.lateness = null;
         }
     }
@@ -312,10 +316,12 @@
         private long seq = -1;
         private double behindSince = Double.NaN;
         private Future<?> lateness;
-        private final Unchanged unchanged = new Unchanged(this);
+        /** Null on the watch. */
+        private final Unchanged unchanged;
 
         Conn(boolean watching) {
             this.watching = watching;
+            unchanged = watching ? null : new Unchanged(this);
         }
 
         @Override public void channelActive(ChannelHandlerContext ctx) {
@@ -350,28 +356,13 @@
                 request.headers().set(HttpHeaderNames.HOST, address.getHostString() + ":" + address.getPort());
                 channel.writeAndFlush(request);
             }
-            if (!watching) {
+            if (!following) {
                 int now = turn;
                 double at = heardAt;
                 if (lateness != null) {
                     lateness.cancel(false);
                 }
                 lateness = loop.after(LATE, () -> late(this, now, at));
-            } else if (!following) {
-                int now = turn;
-                loop.after(LATE, () -> listLate(now, 0));
-            }
-        }
-
-        /** The watch's own first list has stalled. */
-        private void listLate(int asking, int had) {
-            if (turn == asking && !closed && !following && asked) {
-                if (total > had) {
-                    int have = total;
-                    loop.after(LATE, () -> listLate(asking, have));
-                } else if (total > 0) {
-                    close(); // it had begun: nothing more comes
-                }
             }
         }
 
@@ -594,9 +585,8 @@
     }
 
     /**
-     * Compares the answer to a look with the one before, ahead of the codec: nearly all are alike, and reading them
-     * was most of a look's CPU, the more as ten a second never get compiled in a minute. What differs goes on to the
-     * codec, with what was held back.
+     * Compares the answer to a look with the one before, ahead of the codec: nearly all are alike, and then nothing is
+     * decoded or read. What differs goes on to the codec, with what was held back.
      */
     private final class Unchanged extends ChannelInboundHandlerAdapter {
         private static final int HEAD = 4 << 10;
--- a/src/main/java/willowyoke/net/discovery/ConsulSource.java
+++ b/src/main/java/willowyoke/net/discovery/ConsulSource.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 import willowyoke.config.Json;
 import willowyoke.loop.Loop;
 import willowyoke.membership.Entry;
@@ -98,7 +99,7 @@
         String host = service.get("Address").text("");
         host = host.isEmpty() ? each.get("Node").get("Address").text("") : host;
         String dial = (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + (int) service.get("Port").number(0);
-        Addresses.parse(dial);
+        Config.address(dial);
         boolean warning = false;
         boolean out = false;
         for (Json check : each.get("Checks").elements()) {
--- a/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
+++ b/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
@@ -53,6 +53,7 @@
     private long version;
     private boolean left;
     private boolean asking;
+    private Future<?> next;
     private double backoff = BACKOFF;
 
     private record Target(String name, int priority, int weight, int port) { }
@@ -92,6 +93,14 @@
         sink.ended(space);
     }
 
+    /** One chain of questions only, however often it is asked anew. */
+    private void askAfter(double ms) {
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = loop.after(ms, this::ask);
+    }
+
     private void ask() {
         if (left || asking) {
             return;
@@ -100,7 +109,6 @@
         Future<AddressedEnvelope<DnsResponse, InetSocketAddress>> answer =
             resolver.query(new DefaultDnsQuestion(name, DnsRecordType.SRV));
         answer.addListener(f -> {
-            asking = false;
             if (left) {
                 if (f.isSuccess()) {
                     answer.getNow().release();
@@ -124,9 +132,10 @@
     }
 
     private void failed(String why) {
+        asking = false;
         loop.say("discovery: no use of an answer from " + space + ": " + why);
         sink.failed(space, false);
-        loop.after(backoff, this::ask);
+        askAfter(backoff);
         backoff = Math.min(2 * backoff, most);
     }
 
@@ -218,6 +227,7 @@
     }
 
     private void tell(List<Entry> entries, double ttl) {
+        asking = false;
         backoff = BACKOFF;
         if (entries.equals(before)) {
             sink.heard(space);
@@ -225,6 +235,6 @@
             before = entries;
             sink.told(space, ++version, true, entries);
         }
-        loop.after(Math.max(least, Math.min(most, ttl)), this::ask);
+        askAfter(Math.max(least, Math.min(most, ttl)));
     }
 }
--- a/src/main/java/willowyoke/net/discovery/EdsSource.java
+++ b/src/main/java/willowyoke/net/discovery/EdsSource.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 import willowyoke.config.Json;
 import willowyoke.loop.Loop;
 import willowyoke.membership.Entry;
@@ -160,7 +161,7 @@
                 String host = at.get("address").text("");
                 String dial = (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":"
                     + (int) get(at, "port_value", "portValue").number(0);
-                Addresses.parse(dial);
+                Config.address(dial);
                 String health = get(each, "health_status", "healthStatus").text("UNKNOWN");
                 boolean up = health.equals("HEALTHY") || health.equals("UNKNOWN") || health.equals("DEGRADED");
                 double weight = get(each, "load_balancing_weight", "loadBalancingWeight").number(1);
--- a/src/main/java/willowyoke/net/discovery/HttpSource.java
+++ b/src/main/java/willowyoke/net/discovery/HttpSource.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -42,6 +43,8 @@
     private Channel channel;
     private boolean left;
     private boolean waiting;
+    private boolean connecting;
+    private Future<?> next;
     private int turn;
     private int open;
     private double backoff = BACKOFF;
@@ -84,7 +87,11 @@
         forget();
         before = null;
         if (channel != null) {
-            channel.close();
+            Channel old = channel;
+            channel = null;
+            waiting = false;
+            old.close();
+            ask();
         }
     }
 
@@ -102,7 +109,7 @@
     }
 
     private void ask() {
-        if (left || waiting) {
+        if (left || waiting || connecting) {
             return;
         }
         if (channel == null) {
@@ -122,13 +129,23 @@
         });
     }
 
+    /** One chain of questions only, however often it is asked anew. */
+    private void askAfter(double ms) {
+        if (next != null) {
+            next.cancel(false);
+        }
+        next = loop.after(ms, this::ask);
+    }
+
     private void connect() {
         open++;
+        connecting = true;
         bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override protected void initChannel(SocketChannel c) {
                 c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(LONGEST), new Answers());
             }
         }).connect(address).addListener(f -> {
+            connecting = false;
             if (!f.isSuccess()) {
                 open--;
                 failed(f.cause() instanceof ConnectException && !(f.cause() instanceof ConnectTimeoutException));
@@ -146,7 +163,7 @@
         }
         forget();
         sink.failed(space, refused);
-        loop.after(backoff, this::ask);
+        askAfter(backoff);
         backoff = Math.min(2 * backoff, BACKOFF_MOST);
     }
 
@@ -160,6 +177,7 @@
                 return;
             }
             channel = ctx.channel();
+            connecting = false; // the connect's own listener comes after this
             ask();
         }
 
@@ -183,7 +201,7 @@
                 channel = null;
                 ctx.close();
             }
-            loop.after(pause(), HttpSource.this::ask);
+            askAfter(pause());
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
@@ -195,7 +213,9 @@
             counted = false;
             if (ctx.channel() == channel) {
                 channel = null;
-                failed(false);
+                if (waiting || left) {
+                    failed(false);
+                } // else it was idle: the next question opens another
             } else if (left && open == 0) {
                 sink.ended(space);
             }
--- a/src/main/java/willowyoke/net/discovery/MembersJson.java
+++ b/src/main/java/willowyoke/net/discovery/MembersJson.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 import willowyoke.config.Json;
 import willowyoke.membership.Entry;
 
@@ -36,10 +37,6 @@
         }
     }
 
-    static MembersJson read(byte[] text, Consumer<String> bad) throws IOException {
-        return read(text, text.length, bad);
-    }
-
     /** The list in a configuration; null where that has none. */
     public static MembersJson of(Json known, Consumer<String> bad) {
         if (!known.get("hosts").isArray()) {
@@ -127,7 +124,7 @@
         };
         try {
             if (!dial.isEmpty()) {
-                Addresses.parse(dial);
+                Config.address(dial);
             }
             entries.add(new Entry(new Gateway.Server(host, block, site, state, kind, born, share),
                 dial.isEmpty() ? null : dial));
--- a/src/main/java/willowyoke/net/discovery/Sources.java
+++ b/src/main/java/willowyoke/net/discovery/Sources.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import willowyoke.config.Config;
 import willowyoke.config.EdgeSettings;
 
 /** The places of the operators' settings, in their order. Loaded only where there are such settings. */
@@ -28,20 +29,20 @@
     }
 
     static Members.Place consul(EdgeSettings.Consul told) {
-        InetSocketAddress address = Addresses.parse(told.address());
+        InetSocketAddress address = Config.address(told.address());
         String token = secret(told.tokenFile());
         return new Members.Place("consul " + told.address() + " " + told.service(), (loop, sink, space) ->
             new ConsulSource(loop, sink, address, space, told.service(), told.blockFor(), token));
     }
 
     static Members.Place eds(EdgeSettings.Eds told) {
-        InetSocketAddress address = Addresses.parse(told.address());
+        InetSocketAddress address = Config.address(told.address());
         return new Members.Place("eds " + told.address() + " " + told.cluster(), (loop, sink, space) ->
             new EdsSource(loop, sink, address, space, told.cluster(), told.nodeId(), told.refresh()));
     }
 
     static Members.Place dns(EdgeSettings.DnsSrv told) {
-        List<InetSocketAddress> servers = told.servers().stream().map(Addresses::parse).toList();
+        List<InetSocketAddress> servers = told.servers().stream().map(Config::address).toList();
         return new Members.Place("dns " + told.name(), (loop, sink, space) ->
             new DnsSrvSource(loop, sink, servers, space, told.name(), told.least(), told.most()));
     }
--- a/src/main/java/willowyoke/standin/Agent.java
+++ b/src/main/java/willowyoke/standin/Agent.java
@@ -25,7 +25,8 @@
 public final class Agent implements Closeable {
     /** One server in the list. */
     public record Host(String id, String dial, String health, double bornMs) {
-        String json() {
+        /** As the list has it. */
+        public String json() {
             return "{\"host\":\"" + id + "\",\"dial\":\"" + dial + "\",\"site\":\"a\",\"class\":\"m\",\"block\":3,"
                 + "\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + Math.round(bornMs) + "}";
         }
@@ -61,9 +62,15 @@
     }
 
     public Agent(String address, long seq) throws IOException {
+        this(address, 0, seq);
+    }
+
+    /** @param port 0 for any; one that was in use a moment ago is taken again, as by a restart */
+    public Agent(String address, int port, long seq) throws IOException {
         this.seq = seq;
         socket = new ServerSocket();
-        socket.bind(new InetSocketAddress(InetAddress.getByName(address), 0), 128);
+        socket.setReuseAddress(true);
+        socket.bind(new InetSocketAddress(InetAddress.getByName(address), port), 128);
         thread("stand-in discovery", this::accept);
     }
 
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -11,6 +11,18 @@
 import org.junit.jupiter.api.Test;
 
 class RulesTest {
+    /** A day of releases brings ever new servers: nothing is kept of those that left. */
+    @Test void serversThatLeftAreForgotten() throws ReflectiveOperationException {
+        Bench b = Bench.plain().start().servers(2);
+        for (int i = 10; i < 60; i++) {
+            b.module.servers(b.now, List.of(Bench.server(i, Gateway.State.UP, 0)), false);
+            b.module.servers(b.now, List.of(Bench.server(i, Gateway.State.GONE, 0)), false);
+        }
+        java.lang.reflect.Field hosts = Decide.class.getDeclaredField("hosts");
+        hosts.setAccessible(true);
+        assertEquals(2, ((java.util.Map<?, ?>) hosts.get(b.module)).size());
+    }
+
     @Test void everyRequestGetsOneAnswerByItsDeadline() {
         Bench b = Bench.plain().start().servers(2);
         b.arrive(1, "once", "big", "c");
--- a/src/test/java/willowyoke/config/EdgeSettingsTest.java
+++ b/src/test/java/willowyoke/config/EdgeSettingsTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import willowyoke.membership.Limits;
 
 /** The operators' settings: all faults together, each with file, line, key, what was found and what is allowed. */
 class EdgeSettingsTest {
@@ -24,7 +25,7 @@
 
     @Test void nothingIsTheDefaults() throws Exception {
         EdgeSettings none = read("");
-        assertEquals(EdgeSettings.defaults(18_000).limits(), none.limits());
+        assertEquals(Limits.defaults(18_000), none.limits());
         assertEquals(List.of("agent"), none.sources());
     }
 
@@ -35,7 +36,7 @@
         String on = sample.replaceAll("(?m)^# ([a-z_]+ = )", "$1").replace("/run/secrets/consul-token",
             Files.writeString(folder.resolve("token"), "t").toString());
         EdgeSettings all = read(on);
-        assertEquals(EdgeSettings.defaults(18_000).limits(), all.limits());
+        assertEquals(Limits.defaults(18_000), all.limits());
         assertEquals(new EdgeSettings.Eds("127.0.0.1:18000", "enrol", "nickelstand", 500), all.eds());
         assertEquals(new EdgeSettings.DnsSrv("_resp._tcp.enrol.example", List.of("127.0.0.1:53"), 1000, 30_000),
             all.dnsSrv());
@@ -85,7 +86,8 @@
     }
 
     @Test void aSecretsFileMustBeThere() {
-        assertEquals(List.of("f.toml:3: membership.consul.token_file: '/nowhere/token' cannot be read"), refused("""
+        assertEquals(List.of("f.toml:3: membership.consul.token_file: '/nowhere/token' is no file that can be read"),
+            refused("""
             [membership.consul]
             service = "enrol"
             token_file = "/nowhere/token"
--- a/src/test/java/willowyoke/net/ReloadTest.java
+++ b/src/test/java/willowyoke/net/ReloadTest.java
@@ -113,6 +113,26 @@
         return start.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile()).start();
     }
 
+    /** Told after the configuration was read and before the node is up: the file is read again when it is. */
+    @Test void aHangupDuringTheStartIsNotLost() throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config());
+        Process process = serve(file);
+        try (Peer next = new Peer()) {
+            Peer.Line asked = nextWatch(discovery, 41); // not answered: the start waits for it
+            counter.accept();
+            app.accept();
+            Files.writeString(file, config().replace(discovery.address(), next.address()));
+            assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start()
+                .waitFor());
+            assertTrue(next.poll(300) == null, "there is nothing to move yet");
+            asked.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\n\n\r\n");
+            answerLists(next.accept(), list(7, true, entry("s9", app.address(), "active")));
+        } finally {
+            process.destroy();
+            assertTrue(process.waitFor(10, TimeUnit.SECONDS));
+        }
+    }
+
     /** As under nohup: ignored by the parent, the signal cannot be caught, and used to be lost for ever. */
     @Test void aReloadIsHeardWhereHangupIsIgnored() throws Exception {
         Path file = Files.writeString(folder.resolve("config.json"), config());
--- a/src/test/java/willowyoke/net/Rig.java
+++ b/src/test/java/willowyoke/net/Rig.java
@@ -2,12 +2,14 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import willowyoke.Gateway;
 import willowyoke.config.Config;
 import willowyoke.config.Json;
@@ -22,13 +24,12 @@
 final class Rig implements AutoCloseable {
     static final long GRACE = 250;
 
-    final AtomicLong last = new AtomicLong();
-    final AtomicLong sends = new AtomicLong();
-    final AppServer app = new AppServer(at -> {
-        last.set(at);
-        sends.incrementAndGet();
-    });
+    final AtomicLong last;
+    final AtomicLong sends;
+    final AppServer app;
     final Map<String, Gateway.State> view = new ConcurrentHashMap<>();
+    final Map<String, Double> born = new ConcurrentHashMap<>();
+    private final boolean shares;
     volatile String target = "none";
     Agent agent;
     final Node node;
@@ -36,8 +37,21 @@
     private final Thread client;
 
     Rig(Agent first) throws Exception {
+        this(first, null);
+    }
+
+    /** Another node before the app server of a rig that stands, with a list known at its start. */
+    Rig(Agent first, Rig with, Agent.Host... known) throws Exception {
+        shares = with != null;
+        last = shares ? with.last : new AtomicLong();
+        sends = shares ? with.sends : new AtomicLong();
+        app = shares ? with.app : new AppServer(at -> {
+            last.set(at);
+            sends.incrementAndGet();
+        });
         agent = first;
-        node = new Node(config(first, "[]"), (settings, seed, now, actions) -> new Pulse(actions));
+        String hosts = Arrays.stream(known).map(Agent.Host::json).collect(Collectors.joining(",", "[", "]"));
+        node = new Node(config(first, hosts), (settings, seed, now, actions) -> new Pulse(actions));
         node.start();
         client = new Thread(this::ask, "client");
         client.setDaemon(true);
@@ -115,7 +129,9 @@
         client.interrupt();
         agent.close();
         node.drain();
-        app.close();
+        if (!shares) {
+            app.close();
+        }
     }
 
     private final class Pulse implements Gateway.Events {
@@ -126,7 +142,10 @@
         }
 
         @Override public void servers(double now, List<Gateway.Server> list, boolean whole) {
-            list.forEach(s -> view.put(s.id(), s.state()));
+            for (Gateway.Server s : list) {
+                born.put(s.id(), s.startedAt());
+                view.put(s.id(), s.state());
+            }
         }
 
         @Override public void discoveryFailed(double now) { }
--- a/src/test/java/willowyoke/net/StallTest.java
+++ b/src/test/java/willowyoke/net/StallTest.java
@@ -7,6 +7,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -65,8 +66,8 @@
         }
     }
 
-    private static void everyOffset(String what, int from, int offsets, Round round) throws Exception {
-        AtomicInteger next = new AtomicInteger(from);
+    private static void everyOffset(String what, int offsets, Round round) throws Exception {
+        AtomicInteger next = new AtomicInteger();
         List<Double> took = Collections.synchronizedList(new ArrayList<>());
         List<String> late = Collections.synchronizedList(new ArrayList<>());
         ExecutorService threads = Executors.newFixedThreadPool(RIGS);
@@ -74,7 +75,7 @@
         for (int i = 0; i < RIGS; i++) {
             all.add(threads.submit((Callable<Void>) () -> {
                 try (Rig rig = new Rig(new Agent(40)); Lateness lateness = new Lateness()) {
-                    for (int k = next.getAndIncrement(); k < from + offsets; k = next.getAndIncrement()) {
+                    for (int k = next.getAndIncrement(); k < offsets; k = next.getAndIncrement()) {
                         double ms = 0;
                         double allowed = -1;
                         for (int turn = 0; turn < TURNS && ms > allowed; turn++) {
@@ -102,70 +103,90 @@
         assertEquals(offsets, took.size());
     }
 
-    private static int head() {
-        return "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n".length();
+    /** What goes wrong at discovery between a server's coming and its going. */
+    private interface Fault {
+        void begin() throws Exception;
     }
 
-    /**
-     * The watch sends so many bytes and stalls, wherever that is: in its head, in a chunk's, in a line,
-     * behind.
-     */
+    /** A server comes and serves, the fault begins, the server drains: ms from told to the last send. */
+    private static double drain(Rig rig, String id, Fault fault) throws Exception {
+        rig.agent.set(rig.host(id, "active"));
+        rig.serves(id);
+        fault.begin();
+        long told = System.nanoTime();
+        rig.agent.set(rig.host(id, "leaving"));
+        double ms = rig.drained(id, told);
+        rig.agent.set(rig.host(id, "left"));
+        return ms;
+    }
+
+    /** Bytes of a watch's head. */
+    private static final int HEAD =
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n".length();
+    /** Bytes of the answer to a look that lists one server. */
+    private static final int LIST =
+        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 180\r\n\r\n".length() + 180;
+
+    /** The watch sends so many bytes and stalls, wherever that is: in its head, in a chunk's, in a line, behind. */
     @Test void aWatchThatStallsAtAnyByte() throws Exception {
-        int whole = head() + "1\r\n\n\r\n".length() + 190;
-        everyOffset("watch stalls", 0, whole, (rig, k, turn) -> {
-            String id = "w" + k + "t" + turn;
-            rig.agent.set(rig.host(id, "active"));
-            rig.serves(id);
+        int whole = HEAD + "1\r\n\n\r\n".length() + 190;
+        everyOffset("watch stalls", whole, (rig, k, turn) -> drain(rig, "w" + k + "t" + turn, () -> {
             rig.agent.stall(Agent.Kind.WATCH, k, 1);
             rig.agent.reset();
             Rig.await("a new watch", () -> rig.agent.stalled());
-            long told = System.nanoTime();
-            rig.agent.set(rig.host(id, "leaving"));
-            double ms = rig.drained(id, told);
-            rig.agent.set(rig.host(id, "left"));
-            return ms;
-        });
+        }));
     }
 
     /** Both eyes at once: the watch stops dead, and the next look's answer stalls at any byte. */
     @Test void aWatchAndTheNextLookThatStallAtAnyByte() throws Exception {
-        int whole = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 180\r\n\r\n".length() + 180;
-        everyOffset("watch and look stall", 0, whole, (rig, k, turn) -> {
-            String id = "l" + k + "t" + turn;
-            rig.agent.set(rig.host(id, "active"));
-            rig.serves(id);
+        everyOffset("watch and look stall", LIST, (rig, k, turn) -> drain(rig, "l" + k + "t" + turn, () -> {
             rig.agent.stallNow(Agent.Kind.WATCH);
             rig.agent.stall(Agent.Kind.LIST, k, 1);
-            long told = System.nanoTime();
-            rig.agent.set(rig.host(id, "leaving"));
-            double ms = rig.drained(id, told);
-            rig.agent.set(rig.host(id, "left"));
-            return ms;
-        });
+        }));
     }
 
     /** Discovery moves; what the new one sends first stalls at any byte, and the old one goes silent. */
     @Test void aMoveToOneThatStallsAtAnyByte() throws Exception {
-        int whole = 80 + 180 + head() + 20;
-        everyOffset("move, and the first list stalls", 0, whole / 3, (rig, k, turn) -> {
+        everyOffset("move, and the first list stalls", LIST, (rig, k, turn) -> {
             String id = "m" + k + "t" + turn;
             Agent old = rig.agent;
-            old.set(rig.host(id, "active"));
-            rig.serves(id);
-            Agent next = new Agent(7);
-            next.set(rig.host(id, "active"));
-            next.stall(Agent.Kind.LIST, 3L * k, 1);
-            rig.move(next);
-            old.stallNow(Agent.Kind.WATCH);
-            Rig.await("the new one is asked", next::stalled);
-            long told = System.nanoTime();
-            next.set(rig.host(id, "leaving"));
-            double ms = rig.drained(id, told);
+            double ms = drain(rig, id, () -> {
+                Agent next = new Agent(7);
+                next.set(rig.host(id, "active"));
+                next.stall(Agent.Kind.LIST, k, 1);
+                rig.move(next);
+                old.stallNow(Agent.Kind.WATCH);
+                Rig.await("the new one is asked", next::stalled);
+            });
             old.close();
             return ms;
         });
     }
 
+    /** A start with a list known that is old by then: discovery's own first list stalls at any byte. */
+    @Test void aStartWhoseFirstListStallsAtAnyByte() throws Exception {
+        everyOffset("start, and the first list stalls", LIST, (rig, k, turn) -> {
+            String id = "f" + k + "t" + turn;
+            Agent agent = new Agent(7);
+            agent.set(rig.host(id, "active"));
+            agent.stall(Agent.Kind.LIST, k, 1);
+            CompletableFuture<Long> told = CompletableFuture.supplyAsync(() -> {
+                try {
+                    Rig.await("the list is asked", agent::stalled);
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+                long at = System.nanoTime();
+                agent.set(rig.host(id, "leaving"));
+                return at;
+            });
+            try (Rig starting = new Rig(agent, rig, rig.host(id, "active"))) {
+                starting.target = id;
+                return starting.drained(id, told.get());
+            }
+        });
+    }
+
     /** Silent for a while during a release of all servers, then all at once: each told is honoured. */
     @Test void allIsToldAtOnceAfterASilence() throws Exception {
         try (Rig rig = new Rig(new Agent(40))) {
--- a/src/test/java/willowyoke/net/discovery/SourcesTest.java
+++ b/src/test/java/willowyoke/net/discovery/SourcesTest.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -24,6 +26,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import willowyoke.Gateway;
+import willowyoke.config.Config;
 import willowyoke.config.EdgeSettings;
 import willowyoke.loop.Loop;
 import willowyoke.loop.Transport;
@@ -326,7 +329,7 @@
             for (int i = 0; i < 10_000; i++) {
                 agent.set(new Agent.Host("s" + i, i == 77 ? "" : "127.0.0.1:" + (1000 + i), "active", 0));
             }
-            InetSocketAddress at = Addresses.parse(agent.address());
+            InetSocketAddress at = Config.address(agent.address());
             start(0, Members.agent(at));
             await("all but one", () -> view.size() == 9999);
             assertTrue(log.stream().anyMatch(l -> l.contains("s77 has no address")), log.toString());
@@ -346,7 +349,7 @@
         try (Agent agent = new Agent(10)) {
             agent.set(new Agent.Host("a", "127.0.0.1:1001", "active", 0));
             agent.set(new Agent.Host("b", "127.0.0.1:1002", "active", 0));
-            start(0, Members.agent(Addresses.parse(agent.address())));
+            start(0, Members.agent(Config.address(agent.address())));
             ups("a b");
             int watches = 0;
             for (String bad : List.of("{\"seq\":99,\"whole\":true", "{\"seq\":99,\"whole\":true,\"hosts\":7}", "[]",
@@ -375,7 +378,7 @@
         try (Agent agent = new Agent(10)) {
             agent.set(new Agent.Host("a", "127.0.0.1:1001", "active", 0));
             agent.flood(100L << 20);
-            start(0, Members.agent(Addresses.parse(agent.address())));
+            start(0, Members.agent(Config.address(agent.address())));
             await("cut off", () -> log.stream().anyMatch(l -> l.contains("is not taken")));
             assertTrue(agent.bytes() < 32L << 20, "sent " + agent.bytes());
             agent.set(new Agent.Host("b", "127.0.0.1:1002", "active", 0));
@@ -392,7 +395,7 @@
                 agent.set(new Agent.Host("s" + i, "127.0.0.1:" + (2000 + i), "active", 0));
                 truth.put("s" + i, "active");
             }
-            start(0, Members.agent(Addresses.parse(agent.address())));
+            start(0, Members.agent(Config.address(agent.address())));
             await("all", () -> view.size() == 1000);
             for (int i = 0; i < 300; i++) {
                 String id = "s" + random.nextInt(1000);
@@ -407,12 +410,54 @@
         }
     }
 
+    /** A, B, and A again while the first connect to A is still on its way: only the new A counts. */
+    @Test void discoveryMovesBackWithAConnectStillPending() throws Exception {
+        ServerSocket full = new ServerSocket();
+        try (Agent b = new Agent(10)) {
+            full.bind(new InetSocketAddress("127.0.0.1", 0), 1);
+            List<Socket> queue = new ArrayList<>();
+            for (int i = 0; i < 3; i++) { // what comes after them waits for its connect
+                Socket s = new Socket();
+                queue.add(s);
+                try {
+                    s.connect(full.getLocalSocketAddress(), 100);
+                } catch (java.net.SocketTimeoutException e) {
+                    break;
+                }
+            }
+            int port = full.getLocalPort();
+            Members.Place toA = Members.agent(Config.address("127.0.0.1:" + port));
+            Members.Place toB = Members.agent(Config.address(b.address()));
+            b.set(new Agent.Host("b1", "127.0.0.1:1001", "active", 0));
+            start(0, toA);
+            Thread.sleep(200);
+            group.execute(() -> members.move(toA, toB));
+            ups("b1");
+            group.execute(() -> members.move(toB, toA));
+            for (Socket s : queue) {
+                s.close();
+            }
+            full.close();
+            try (Agent a = new Agent("127.0.0.1", port, 20)) {
+                a.set(new Agent.Host("a1", "127.0.0.1:1002", "active", 0));
+                ups("a1");
+                b.set(new Agent.Host("b2", "127.0.0.1:1003", "active", 0)); // nobody listens there any more
+                a.set(new Agent.Host("a2", "127.0.0.1:1004", "active", 0));
+                ups("a1 a2");
+                Thread.sleep(1200); // by then the connects of the first A are over
+                assertEquals(1, a.watches(), "the first A's connect came up and was used");
+            }
+        } finally {
+            full.close();
+        }
+    }
+
     /** Gone and back under its id and address within 100 ms. */
     @Test void aServerThatIsBackAtOnceIsUsedAgain() throws Exception {
         try (Agent agent = new Agent(10)) {
             agent.set(new Agent.Host("a", "127.0.0.1:1001", "active", 0));
             agent.set(new Agent.Host("b", "127.0.0.1:1002", "active", 0));
-            start(0, Members.agent(Addresses.parse(agent.address())));
+            start(0, Members.agent(Config.address(agent.address())));
             ups("a b");
             agent.set(new Agent.Host("a", "127.0.0.1:1001", "left", 0));
             ups("b");
