--- a/src/test/java/willowyoke/bench/IdleCost.java
+++ b/src/test/java/willowyoke/bench/IdleCost.java
@@ -7,13 +7,17 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import willowyoke.standin.Agent;
 import willowyoke.standin.AppServer;
 
@@ -67,7 +71,7 @@
                 if (load > 0) {
                     ask(port, load);
                 }
-                long before = cpu(node.pid());
+                Map<String, Double> before = cpu(node.pid());
                 int asked = agent.requests();
                 for (int s = 1; s <= seconds; s++) {
                     long until = System.nanoTime() + 1_000_000_000L;
@@ -77,9 +81,9 @@
                     }
                     TimeUnit.NANOSECONDS.sleep(until - System.nanoTime());
                     if (s % 5 == 0) {
-                        long now = cpu(node.pid());
-                        System.out.printf(Locale.ROOT, "second %d: %.1f ms of CPU a second, %.1f questions%n", s,
-                            (now - before) * 10 / 5.0, (agent.requests() - asked) / 5.0);
+                        Map<String, Double> now = cpu(node.pid());
+                        System.out.printf(Locale.ROOT, "second %d: ms of CPU a second: %s; %.1f questions%n", s,
+                            taken(before, now, 5), (agent.requests() - asked) / 5.0);
                         before = now;
                         asked = agent.requests();
                     }
@@ -124,10 +128,25 @@
         asking.start();
     }
 
-    /** Hundredths of a second. */
-    private static long cpu(long pid) throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+    /** CPU (ms) of each thread by its name, to the nanosecond; the sum as {@code all}. */
+    private static Map<String, Double> cpu(long pid) throws IOException {
+        Map<String, Double> all = new TreeMap<>();
+        try (DirectoryStream<Path> tasks = Files.newDirectoryStream(Path.of("/proc/" + pid + "/task"))) {
+            for (Path task : tasks) {
+                double ms = Long.parseLong(Files.readString(task.resolve("schedstat")).split(" ")[0]) / 1e6;
+                all.merge(Files.readString(task.resolve("comm")).strip(), ms, Double::sum);
+                all.merge("all", ms, Double::sum);
+            }
+        }
+        return all;
+    }
+
+    /** Where the CPU of a second went, the threads that took most first. */
+    private static String taken(Map<String, Double> before, Map<String, Double> now, double seconds) {
+        return now.entrySet().stream()
+            .map(e -> Map.entry(e.getKey(), (e.getValue() - before.getOrDefault(e.getKey(), 0.0)) / seconds))
+            .filter(e -> e.getValue() > 0.05).sorted((a, b) -> Double.compare(b.getValue(), a.getValue()))
+            .map(e -> String.format(Locale.ROOT, "%s %.2f", e.getKey(), e.getValue()))
+            .collect(Collectors.joining(", "));
     }
 }
