--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -164,7 +164,7 @@
 
     private record Timer(double at, long serial, Kind kind, Req req) { }
 
-    Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
+    public Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
         set = settings;
         act = actions;
         random = new Random(seed);
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -17,14 +17,16 @@
 import willowyoke.config.ConfigFile;
 import willowyoke.config.EdgeSettings;
 import willowyoke.config.SettingsReader;
-import willowyoke.net.Node;
-import willowyoke.net.Rehearsal;
-import willowyoke.net.StartLog;
-import willowyoke.net.Warmup;
+import willowyoke.loop.LoopThread;
+import willowyoke.node.Node;
+import willowyoke.node.Prime;
+import willowyoke.node.StartLog;
+import willowyoke.node.Warmup;
+import willowyoke.sim.Wire;
 
 /**
  * The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node, and
- * {@code rehearse} starts one at build time for the archive of classes.
+ * {@code prime} starts one at build time for the archive of classes.
  */
 public final class Main {
     private static final AtomicReference<Node> RUNNING = new AtomicReference<>();
@@ -37,7 +39,7 @@
                                     FILE the operators' own settings (deploy/edge.toml shows them all)
           check-settings FILE       what serve would say of the settings in FILE; exit 2 where it would refuse them
           drill                     the decisions on the simulator's wire, standard input to standard output
-          rehearse                  one start and end at build time, for the archive of classes
+          prime                     one start and end at build time, for the archive of classes
           --help                    this page""";
 
     private Main() { }
@@ -59,8 +61,8 @@
             (args.length == 0 ? System.err : System.out).println(USAGE);
             System.exit(args.length == 0 ? 2 : 0);
         }
-        if (args.length == 1 && args[0].equals("rehearse")) {
-            rehearse();
+        if (args.length == 1 && args[0].equals("prime")) {
+            prime();
             return;
         }
         if (args.length != 1 || !args[0].equals("drill")) {
@@ -90,8 +92,8 @@
     }
 
     /** The same start among stand-ins, and the same end. */
-    private static void rehearse() throws IOException {
-        try (Rehearsal stage = new Rehearsal()) {
+    private static void prime() throws IOException {
+        try (Prime stage = new Prime()) {
             Hangup.caught(Main::reload);
             StartLog.ended("JVM");
             begin(stage.environment(), null);
@@ -102,6 +104,7 @@
 
     /** The settings, or the end: what is wrong with them is told, each fault on a line. */
     private static EdgeSettings settings(String file, double warm) {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE); // Netty checks the addresses
         try {
             return EdgeSettings.read(Path.of(file), warm);
         } catch (EdgeSettings.Refused refused) {
@@ -128,7 +131,7 @@
         EdgeSettings own = settings == null ? null : settings(settings, config.settings().rules().warmAfter());
         Warmup.run(config.settings(), Decide::new);
         StartLog.ended("warm-up");
-        Node node = new Node(config, Decide::new, own);
+        Node node = new Node(config, Decide::new, own, LoopThread.real());
         ConfigFile file = new ConfigFile(environment, node::reload, System.err::println);
         node.whenLost(file::suspect);
         Runtime.getRuntime().addShutdownHook(new Thread(node::drain, "drain")); // SIGTERM may cross the bind
--- a/src/main/java/willowyoke/loop/Loop.java
+++ b/src/main/java/willowyoke/loop/Loop.java
@@ -1,5 +1,6 @@
 package willowyoke.loop;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
 
@@ -11,8 +12,17 @@
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
     Future<?> after(double delay, Runnable what);
 
+    /** Runs on the loop once what runs now has returned; may be called from any thread. */
+    void later(Runnable what);
+
     EventLoopGroup group();
 
+    /** The kinds of channel that this loop serves. */
+    Transport transport();
+
+    /** Something was written on this channel: it is flushed with all others when the round has ended. */
+    void flushLater(Channel channel);
+
     /** Writes out what this round's events have left on connections. */
     void flush();
 
--- a/src/main/java/willowyoke/loop/Transport.java
+++ b/src/main/java/willowyoke/loop/Transport.java
@@ -15,26 +15,25 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
-/** Native epoll, measured to take a fifth less CPU than NIO; NIO where its library cannot be loaded. */
-public final class Transport {
+/**
+ * The kinds of channel of an event loop.
+ *
+ * @param socket of connections, both ways
+ * @param listener of what accepts them
+ * @param datagram of questions to name servers
+ */
+public record Transport(Class<? extends SocketChannel> socket, Class<? extends ServerSocketChannel> listener,
+    Class<? extends DatagramChannel> datagram) {
     private static final boolean NATIVE = Epoll.isAvailable();
 
-    private Transport() { }
+    /** Native epoll, measured to take a fifth less CPU than NIO; NIO where its library cannot be loaded. */
+    public static final Transport SOCKETS = NATIVE
+        ? new Transport(EpollSocketChannel.class, EpollServerSocketChannel.class, EpollDatagramChannel.class)
+        : new Transport(NioSocketChannel.class, NioServerSocketChannel.class, NioDatagramChannel.class);
 
+    /** A thread of its own for {@link #SOCKETS}. */
     public static EventLoopGroup loop() {
         return new MultiThreadIoEventLoopGroup(1,
             NATIVE ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
     }
-
-    public static Class<? extends SocketChannel> socket() {
-        return NATIVE ? EpollSocketChannel.class : NioSocketChannel.class;
-    }
-
-    public static Class<? extends ServerSocketChannel> listener() {
-        return NATIVE ? EpollServerSocketChannel.class : NioServerSocketChannel.class;
-    }
-
-    public static Class<? extends DatagramChannel> datagram() {
-        return NATIVE ? EpollDatagramChannel.class : NioDatagramChannel.class;
-    }
 }
--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.net.client;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -20,10 +19,33 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import willowyoke.loop.Transport;
+import willowyoke.loop.Loop;
+import willowyoke.net.resp.Resp;
 
 /** Clients' connections: commands in, answers out in the order of the commands. */
-final class ClientListener {
+public final class ClientListener {
+    /** Who takes what clients ask. */
+    public interface Requests {
+        /**
+         * Takes a request, which from then on is the slot's; its command is the caller's to release.
+         *
+         * @return what is wrong with it, and it was not taken; else null
+         */
+        String take(Slot slot, ArrayRedisMessage command);
+
+        /** Whether so much is held that clients should be read no further. */
+        boolean full();
+    }
+
+    /** A request that was taken and has not been answered. */
+    public interface Taken {
+        /** It fails now: what comes behind it on its connection cannot be told apart. */
+        void giveUp();
+
+        /** Its client has gone: no answer is owed any more. */
+        void gone();
+    }
+
     /** So many commands unanswered on one connection are enough: it is read on when some are answered. */
     private static final int PIPELINED = 256;
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
@@ -37,7 +59,8 @@
     /** A client that does not read what it is owed is cut off this long (ms) after the end. */
     private static final int UNREAD = 2000;
 
-    private final Node node;
+    private final Loop loop;
+    private final Requests requests;
     private final int most;
     private final Set<Connection> open = new LinkedHashSet<>();
     /** Those that have sent no whole command yet, the oldest first. */
@@ -45,14 +68,16 @@
     private Channel listener;
     private boolean closing;
 
-    ClientListener(Node node, int most) {
-        this.node = node;
+    /** @param most connections that are held at once; at the bound the idle one makes room */
+    public ClientListener(Loop loop, Requests requests, int most) {
+        this.loop = loop;
+        this.requests = requests;
         this.most = most;
     }
 
     /** Binds; throws where the address cannot be had. */
-    SocketAddress bind(EventLoopGroup group, SocketAddress address) throws InterruptedException {
-        return new ServerBootstrap().group(group).channel(Transport.listener())
+    public SocketAddress bind(SocketAddress address) throws InterruptedException {
+        return new ServerBootstrap().group(loop.group()).channel(loop.transport().listener())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .handler(new ChannelInitializer<ServerSocketChannel>() {
                 @Override protected void initChannel(ServerSocketChannel channel) {
@@ -71,14 +96,14 @@
             }).bind(address).sync().channel().localAddress();
     }
 
-    void start() {
-        node.after(SWEEP, this::sweep);
+    public void start() {
+        loop.after(SWEEP, this::sweep);
     }
 
     /** Connections that say nothing, or half a command, would fill the bound. */
     private void sweep() {
-        node.after(SWEEP, this::sweep);
-        double before = node.now() - PATIENCE;
+        loop.after(SWEEP, this::sweep);
+        double before = loop.now() - PATIENCE;
         for (Connection c : open.toArray(new Connection[0])) {
             if (!c.deaf && c.slots.isEmpty() && c.silentFrom < before) {
                 c.malformed("no whole command came");
@@ -90,7 +115,7 @@
     private void room() {
         if (open.size() > most) {
             for (Connection c : silent) {
-                if (c.bornAt < node.now() - ASKS_WITHIN && !c.deaf) {
+                if (c.bornAt < loop.now() - ASKS_WITHIN && !c.deaf) {
                     c.finish();
                     return;
                 }
@@ -107,7 +132,7 @@
     }
 
     /** Ends the connections that are between requests, and from now on each after its last answer. */
-    void close() {
+    public void close() {
         closing = true;
         for (Connection c : open.toArray(new Connection[0])) {
             if (c.slots.isEmpty()) {
@@ -116,48 +141,50 @@
         }
     }
 
-    void unbind() {
+    public void unbind() {
         if (listener != null) { // told to end before it was bound
             listener.close();
         }
     }
 
-    boolean idle() {
+    public boolean idle() {
         return open.isEmpty();
     }
 
     /** Reads on where connections were held back for memory. */
-    void resume() {
+    public void resume() {
         for (Connection c : open) {
             c.hold();
         }
     }
 
     /** The place of one command's answer on its connection. */
-    static final class Slot {
+    public static final class Slot {
         private final Connection connection;
         private RedisMessage answer;
-        Node.Request request;
+        private Taken taken;
 
         private Slot(Connection connection) {
             this.connection = connection;
         }
 
+        /** What is open here, or null where nothing is. */
+        public void take(Taken now) {
+            taken = now;
+        }
+
         /** Gives the one answer; it is written once those before it are. */
-        void answer(RedisMessage message) {
+        public void answer(RedisMessage message) {
             answer = message;
             connection.drain();
         }
 
-        io.netty.buffer.ByteBufAllocator alloc() {
-            return connection.channel.alloc();
-        }
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
         private final SocketChannel channel;
         private final ArrayDeque<Slot> slots = new ArrayDeque<>();
-        private final double bornAt = node.now();
+        private final double bornAt = loop.now();
         private Resp.Raw raw;
         /** Since when a whole command is waited for; never where none has begun. */
         private double silentFrom = bornAt;
@@ -199,7 +226,7 @@
         private void command(Slot slot, ArrayRedisMessage command) {
             String verb = Resp.text(command.children().get(0));
             if ("CALL.GET".equals(verb) || "CALL.POST".equals(verb)) {
-                String wrong = node.take(slot, command);
+                String wrong = requests.take(slot, command);
                 if (wrong != null) {
                     slot.answer(new ErrorRedisMessage("ERR " + wrong));
                 }
@@ -213,7 +240,7 @@
         /** Reading stops while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
             boolean read = deaf && !broken || !deaf
-                && slots.size() < PIPELINED && channel.isWritable() && !node.full();
+                && slots.size() < PIPELINED && channel.isWritable() && !requests.full();
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
             }
@@ -222,7 +249,7 @@
         private void drain() {
             while (!slots.isEmpty() && slots.peek().answer != null) {
                 channel.write(slots.poll().answer, channel.voidPromise());
-                node.flushLater(channel);
+                loop.flushLater(channel);
             }
             if (slots.isEmpty() && (closing || deaf)) {
                 finish();
@@ -248,12 +275,12 @@
         }
 
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (raw.pending == 0) {
+            if (raw.pending() == 0) {
                 silentFrom = silent.contains(this) ? silentFrom : Double.MAX_VALUE;
             } else if (silentFrom == Double.MAX_VALUE) {
-                silentFrom = node.now();
+                silentFrom = loop.now();
             }
-            node.flush();
+            loop.flush();
         }
 
         @Override public void channelWritabilityChanged(ChannelHandlerContext ctx) {
@@ -266,12 +293,12 @@
             while (!slots.isEmpty()) {
                 Slot slot = slots.poll();
                 ReferenceCountUtil.release(slot.answer);
-                if (slot.request != null) {
-                    node.gone(slot.request);
+                if (slot.taken != null) {
+                    slot.taken.gone();
                 }
             }
             room();
-            node.flush();
+            loop.flush();
         }
 
         /**
@@ -285,13 +312,13 @@
                 Slot last = new Slot(this);
                 slots.add(last);
                 for (Slot slot : slots.toArray(new Slot[0])) {
-                    if (slot.request != null) {
-                        node.giveUp(slot.request);
+                    if (slot.taken != null) {
+                        slot.taken.giveUp();
                     }
                 }
                 last.answer(new ErrorRedisMessage("ERR " + what));
             }
-            node.flush();
+            loop.flush();
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
@@ -300,7 +327,7 @@
                 return;
             }
             if (!(cause instanceof java.io.IOException)) {
-                node.log("client connection", cause);
+                loop.log("client connection", cause);
             }
             channel.close();
         }
--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.net.counter;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.RedisMessage;
@@ -21,10 +20,22 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.regex.Pattern;
 import willowyoke.Gateway;
-import willowyoke.loop.Transport;
+import willowyoke.loop.Loop;
+import willowyoke.net.resp.Resp;
 
 /** Calls to the shared counter over a few connections. A name keeps to one, so its answers stay in order. */
-final class CounterClient {
+public final class CounterClient {
+    /** Who hears how a call ended. */
+    public interface Counted {
+        /**
+         * Told once for each call, after {@link #add} has returned.
+         *
+         * @param took ms from the call to its end
+         * @param total the name's new total where the outcome is OK
+         */
+        void counted(long name, Gateway.Outcome outcome, double took, double total);
+    }
+
     private static final int LINES = 4;
     private static final double CHECK = 200;
     /** Silence (ms) until a check: shorter than the 10 s or less after which the counter ends idle ones. */
@@ -40,7 +51,8 @@
     private static final Pattern NUMBER =
         Pattern.compile("-?[0-9]{1,18}(\\.[0-9]{1,18})?(e[+-]?[0-9]{1,2})?");
 
-    private final Node node;
+    private final Loop loop;
+    private final Counted counted;
     private final double limit;
     private final Bootstrap bootstrap;
     private final Line[] lines = new Line[LINES];
@@ -69,29 +81,34 @@
         }
     }
 
-    CounterClient(Node node, EventLoopGroup group, InetSocketAddress address, double limit) {
-        this.node = node;
+    /**
+     * @param address of the counter, or null where there is none yet
+     * @param limit after how long (ms) a call without an answer is told as timed out
+     */
+    public CounterClient(Loop loop, Counted counted, InetSocketAddress address, double limit) {
+        this.loop = loop;
+        this.counted = counted;
         this.address = address;
         this.limit = limit;
-        bootstrap = new Bootstrap().group(group).channel(Transport.socket())
+        bootstrap = new Bootstrap().group(loop.group()).channel(loop.transport().socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
         if (address == null) {
             ready.complete(null);
         }
     }
 
-    void start() {
+    public void start() {
         if (address != null) {
             for (int i = 0; i < LINES; i++) {
                 lines[i] = new Line(address);
                 lines[i].connect();
             }
-            node.after(CHECK, this::check);
+            loop.after(CHECK, this::check);
         }
     }
 
     /** A new address: the old lines serve until the new ones are up; what is out may be answered. */
-    void move(InetSocketAddress to) {
+    public void move(InetSocketAddress to) {
         if (to == null || to.equals(address)) {
             return;
         }
@@ -122,17 +139,17 @@
         return lines[i];
     }
 
-    CompletableFuture<Void> ready() {
+    public CompletableFuture<Void> ready() {
         return ready;
     }
 
-    void add(long name, double amount, double keepFor) {
+    public void add(long name, double amount, double keepFor) {
         Line line = address == null ? null : line((int) Math.floorMod(name, (long) LINES));
         if (line == null || line.channel == null && !line.connecting) {
-            node.later(() -> node.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
+            loop.later(() -> counted.counted(name, Gateway.Outcome.NO_CONNECTION, 0, 0));
             return;
         }
-        Call call = new Call(line, name, node.now(), false);
+        Call call = new Call(line, name, loop.now(), false);
         long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
         String[] words = {"CNT.ADD", Long.toString(name), plain(amount), Long.toString(life)};
         if (line.channel == null) {
@@ -143,7 +160,7 @@
         untold.add(call);
         if (!armed) {
             armed = true;
-            node.after(limit, this::expire);
+            loop.after(limit, this::expire);
         }
     }
 
@@ -153,9 +170,9 @@
 
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
-        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= node.now())) {
+        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= loop.now())) {
             Call call = untold.poll();
-            if (!call.told && call.line.channel != null && call.line.raw.pending != 0) {
+            if (!call.told && call.line.channel != null && call.line.raw.pending() != 0) {
                 call.line.spoilt(); // half an answer, and no more of it
             }
             tell(call, call.line.waiting.remove(call) == null ? Gateway.Outcome.TIMEOUT
@@ -163,27 +180,27 @@
         }
         armed = !untold.isEmpty();
         if (armed) {
-            node.after(untold.peek().sent + limit - node.now(), this::expire);
+            loop.after(untold.peek().sent + limit - loop.now(), this::expire);
         }
     }
 
     private void tell(Call call, Gateway.Outcome outcome, double total) {
         if (!call.told) {
             call.told = true;
-            node.counted(call.name, outcome, node.now() - call.sent, total);
+            counted.counted(call.name, outcome, loop.now() - call.sent, total);
         }
     }
 
     private void check() {
-        node.after(CHECK, this::check);
+        loop.after(CHECK, this::check);
         for (int i = 0; i < LINES; i++) {
             Line line = line(i);
             if (line.channel != null) {
                 Call oldest = line.calls.peek();
-                if (oldest != null && node.now() - oldest.sent > DEAD) {
+                if (oldest != null && loop.now() - oldest.sent > DEAD) {
                     line.channel.close();
-                } else if (node.now() - line.usedAt > IDLE) {
-                    line.write(new Call(line, 0, node.now(), true), "PING");
+                } else if (loop.now() - line.usedAt > IDLE) {
+                    line.write(new Call(line, 0, loop.now(), true), "PING");
                 }
             }
         }
@@ -247,9 +264,9 @@
                 waiting.clear();
                 if (f.isSuccess()) {
                     channel = connected.channel();
-                    usedAt = node.now();
+                    usedAt = loop.now();
                     held.forEach(this::write);
-                    node.flush();
+                    loop.flush();
                     for (Line line : lines) {
                         if (line.channel == null) {
                             return;
@@ -258,8 +275,8 @@
                     ready.complete(null);
                 } else {
                     held.forEach((call, words) -> tell(call, Gateway.Outcome.NO_CONNECTION, 0));
-                    node.flush();
-                    node.after(RECONNECT, this::connect);
+                    loop.flush();
+                    loop.after(RECONNECT, this::connect);
                 }
             });
         }
@@ -269,7 +286,7 @@
             usedAt = call.sent;
             channel.write(Resp.command(channel.alloc(), words))
                 .addListener(f -> call.written = f.isSuccess());
-            node.flushLater(channel);
+            loop.flushLater(channel);
         }
 
         private final class Answers extends ChannelInboundHandlerAdapter {
@@ -315,15 +332,15 @@
             }
 
             @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-                node.flush();
+                loop.flush();
             }
 
             /** What was written may have been added. */
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
                 broken();
-                node.later(Line.this::connect); // at once: only a connect that fails is tried less often
-                node.flush();
+                loop.later(Line.this::connect); // at once: only a connect that fails is tried less often
+                loop.flush();
             }
 
             /**
@@ -335,7 +352,7 @@
                     return;
                 }
                 if (!(cause instanceof java.io.IOException)) {
-                    node.log("counter", cause);
+                    loop.log("counter", cause);
                     spoilt();
                 }
                 ctx.close();
--- a/src/main/java/willowyoke/net/discovery/AgentSource.java
+++ b/src/main/java/willowyoke/net/discovery/AgentSource.java
@@ -33,7 +33,6 @@
 import java.util.Arrays;
 import java.util.List;
 import willowyoke.loop.Loop;
-import willowyoke.loop.Transport;
 import willowyoke.membership.Source;
 
 /**
@@ -101,7 +100,7 @@
         this.sink = sink;
         this.address = address;
         this.space = space;
-        bootstrap = new Bootstrap().group(loop.group()).channel(Transport.socket())
+        bootstrap = new Bootstrap().group(loop.group()).channel(loop.transport().socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT).option(ChannelOption.TCP_NODELAY, true);
         question = Unpooled.unreleasableBuffer(Unpooled.copiedBuffer("GET " + PATH + " HTTP/1.1\r\nhost: "
             + address.getHostString() + ":" + address.getPort() + "\r\n\r\n", StandardCharsets.US_ASCII));
--- a/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
+++ b/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
@@ -25,7 +25,6 @@
 import java.util.Map;
 import willowyoke.Gateway;
 import willowyoke.loop.Loop;
-import willowyoke.loop.Transport;
 import willowyoke.membership.Entry;
 import willowyoke.membership.Source;
 
@@ -72,8 +71,8 @@
         this.least = least;
         this.most = most;
         EventLoop own = loop.group().next();
-        resolver = new DnsNameResolverBuilder(own).datagramChannelType(Transport.datagram())
-            .socketChannelType(Transport.socket(), true).queryTimeoutMillis(QUERY).maxQueriesPerResolve(QUERIES)
+        resolver = new DnsNameResolverBuilder(own).datagramChannelType(loop.transport().datagram())
+            .socketChannelType(loop.transport().socket(), true).queryTimeoutMillis(QUERY).maxQueriesPerResolve(QUERIES)
             .nameServerProvider(new SequentialDnsServerAddressStreamProvider(servers)).searchDomains(List.of())
             .ndots(1).ttl(0, 1).negativeTtl(0).build();
     }
--- a/src/main/java/willowyoke/net/discovery/HttpSource.java
+++ b/src/main/java/willowyoke/net/discovery/HttpSource.java
@@ -20,7 +20,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import willowyoke.loop.Loop;
-import willowyoke.loop.Transport;
 import willowyoke.membership.Entry;
 import willowyoke.membership.Source;
 
@@ -56,7 +55,7 @@
         this.sink = sink;
         this.address = address;
         this.space = space;
-        bootstrap = new Bootstrap().group(loop.group()).channel(Transport.socket())
+        bootstrap = new Bootstrap().group(loop.group()).channel(loop.transport().socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT);
     }
 
--- a/src/main/java/willowyoke/net/discovery/Members.java
+++ b/src/main/java/willowyoke/net/discovery/Members.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import willowyoke.loop.Loop;
 import willowyoke.membership.Entry;
+import willowyoke.membership.Health;
 import willowyoke.membership.Limits;
 import willowyoke.membership.Membership;
 import willowyoke.membership.Source;
@@ -16,7 +17,7 @@
  * Carries out what {@link Membership} decides: feeds it what sources and connections say, and tells its
  * view.
  */
-public final class Members implements Source.Sink {
+public final class Members implements Source.Sink, Health {
     /** Who is told the view. */
     public interface View {
         /** Servers that have changed, or all where whole. */
@@ -205,18 +206,18 @@
 
     // ---- from connections to servers ----
 
-    public void answered(String id) {
+    @Override public void answered(String id) {
         Membership.Changes changes = core.answered(loop.now(), id);
         if (changes != Membership.Changes.NONE) { // as with nearly every answer
             apply(changes);
         }
     }
 
-    public void reachable(String id) {
+    @Override public void reachable(String id) {
         apply(core.reachable(loop.now(), id));
     }
 
-    public void unreachable(String id, boolean wasRefused, int standing) {
+    @Override public void unreachable(String id, boolean wasRefused, int standing) {
         apply(core.unreachable(loop.now(), id, wasRefused, standing));
     }
 
--- a/src/main/java/willowyoke/net/resp/Call.java
+++ b/src/main/java/willowyoke/net/resp/Call.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.net.resp;
 
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
@@ -10,7 +10,7 @@
 import willowyoke.Gateway;
 
 /** A client's call as read: what the module is told of it, and its list of names and values round d. */
-record Call(String customer, String id, String type, String plan, double patience, int units, int spread,
+public record Call(String customer, String id, String type, String plan, double patience, int units, int spread,
     int first, boolean again, String beforeWait, String afterWait) {
 
     private static final int CUSTOMER = 1;
@@ -25,7 +25,7 @@
     private static final Pattern WAIT = Pattern.compile("[0-9]{1,9}(\\.[0-9]{1,9})?");
 
     /** Throws IllegalArgumentException with what is wrong; sets and units are held against the settings. */
-    static Call of(ArrayRedisMessage command, Gateway.Settings settings) {
+    public static Call of(ArrayRedisMessage command, Gateway.Settings settings) {
         List<RedisMessage> parts = command.children();
         if (parts.size() <= LIST || parts.size() > BODY + 1) {
             throw new IllegalArgumentException("wrong number of arguments");
@@ -102,7 +102,7 @@
     }
 
     /** The command as it goes on: unchanged, but d tells what is left. */
-    ArrayRedisMessage forward(ArrayRedisMessage command, double left, ByteBufAllocator alloc) {
+    public ArrayRedisMessage forward(ArrayRedisMessage command, double left, ByteBufAllocator alloc) {
         List<RedisMessage> parts = new ArrayList<>(command.children().size());
         for (int i = 0; i < command.children().size(); i++) {
             parts.add(i == LIST
--- a/src/main/java/willowyoke/net/resp/Resp.java
+++ b/src/main/java/willowyoke/net/resp/Resp.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.net.resp;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -22,16 +22,16 @@
 import java.util.List;
 
 /** RESP2 on a channel: the library's codec, held within this protocol's bounds. */
-final class Resp {
+public final class Resp {
     /** The most that one value holds; the lists of names and values and inline answers are far shorter. */
-    static final int VALUE = 64 * 1024;
+    public static final int VALUE = 64 * 1024;
     private static final int LINE = 4096;
     private static final int DEPTH = 4;
 
     private Resp() { }
 
     /** Adds the codec: whole messages in, messages out; the largest array told bounds what is kept of one. */
-    static Raw codec(ChannelPipeline pipeline, int mostElements) {
+    public static Raw codec(ChannelPipeline pipeline, int mostElements) {
         Raw raw = new Raw();
         pipeline.addLast(raw,
             new RedisDecoder(LINE, io.netty.handler.codec.redis.FixedRedisMessagePool.INSTANCE), new Bounds(),
@@ -41,9 +41,13 @@
     }
 
     /** Counts what comes in before it is decoded, as the decoder hides half a message. */
-    static final class Raw extends ChannelInboundHandlerAdapter {
+    public static final class Raw extends ChannelInboundHandlerAdapter {
+        private long pending;
+
         /** Bytes that have come and belong to no whole message yet. */
-        long pending;
+        public long pending() {
+            return pending;
+        }
 
         @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
             pending += ((ByteBuf) msg).readableBytes();
@@ -51,7 +55,7 @@
         }
 
         /** A whole message has come; one in another than the shortest form leaves a difference for good. */
-        void whole(RedisMessage message) {
+        public void whole(RedisMessage message) {
             pending -= length(message);
         }
     }
@@ -86,11 +90,11 @@
         }
     }
 
-    static FullBulkStringRedisMessage bulk(ByteBufAllocator alloc, String text) {
+    public static FullBulkStringRedisMessage bulk(ByteBufAllocator alloc, String text) {
         return new FullBulkStringRedisMessage(ByteBufUtil.writeUtf8(alloc, text));
     }
 
-    static ArrayRedisMessage command(ByteBufAllocator alloc, String... words) {
+    public static ArrayRedisMessage command(ByteBufAllocator alloc, String... words) {
         List<RedisMessage> parts = new ArrayList<>(words.length);
         for (String word : words) {
             parts.add(bulk(alloc, word));
@@ -99,12 +103,12 @@
     }
 
     /** The text of a bulk string, or null where the message is none. */
-    static String text(RedisMessage message) {
+    public static String text(RedisMessage message) {
         return message instanceof FullBulkStringRedisMessage bulk && !bulk.isNull()
             ? bulk.content().toString(StandardCharsets.UTF_8) : null;
     }
 
-    static boolean isValue(RedisMessage message) {
+    public static boolean isValue(RedisMessage message) {
         return message instanceof FullBulkStringRedisMessage bulk && !bulk.isNull();
     }
 }
--- a/src/main/java/willowyoke/net/server/ServerPool.java
+++ b/src/main/java/willowyoke/net/server/ServerPool.java
@@ -1,6 +1,7 @@
-package willowyoke.net;
+package willowyoke.net.server;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -8,7 +9,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ConnectTimeoutException;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
@@ -27,15 +27,38 @@
 import java.util.concurrent.CompletableFuture;
 import willowyoke.Gateway;
 import willowyoke.config.Config;
-import willowyoke.loop.Transport;
+import willowyoke.loop.Loop;
 import willowyoke.membership.Entry;
+import willowyoke.membership.Health;
+import willowyoke.net.resp.Resp;
 
 /**
  * Connections to app servers, and the attempts and probes on them. A connection carries one request at a
  * time: answers come in order, so a slow one would hold up those behind it, and giving it up end them all.
  */
-final class ServerPool {
-    static final double[] NO_LOAD = new double[0];
+public final class ServerPool {
+    /** What is asked of an app server, and who hears how it ended. */
+    public interface Work {
+        /** The command as it goes out at this time. */
+        ArrayRedisMessage command(double now, ByteBufAllocator alloc);
+
+        /**
+         * Told once, after {@link #send} has returned.
+         *
+         * @param value where the outcome is OK; the pool's to release
+         * @param load the server's report in the order of the settings' fields, or empty
+         */
+        void ended(Attempt attempt, Gateway.Outcome outcome, RedisMessage value, double[] load);
+    }
+
+    /** Who hears what probes bring. */
+    public interface Probed {
+        /** @param took ms */
+        void probed(String server, Gateway.Outcome outcome, double took, double[] load);
+    }
+
+    /** Where a server has told nothing of its load. */
+    public static final double[] NO_LOAD = new double[0];
     /** Part of the servers' idle limit after which a connection is retired: a race would be a reset. */
     private static final double RETIRE = 0.4;
     private static final double SWEEP = 500;
@@ -51,21 +74,28 @@
     private static final Map<String, String> FIELDS = Map.of("inflight", "outstanding", "queue", "backlog",
         "util", "utilization", "latency_ms", "recent_ms", "qps", "throughput", "eps", "errors_per_s");
 
-    /** What is out on a connection: an attempt of a request, or a probe. */
-    static class Attempt {
-        final Node.Request request;
-        final int number;
-        final String server;
-        final double sent;
-        boolean done;
+    /** What is out on a connection: an attempt of some work, or a probe, which has none. */
+    public static final class Attempt {
+        /** Counted from 0 for each request. */
+        public final int number;
+        /** When it was asked for (ms on the loop's clock). */
+        public final double sent;
+        private final Work work;
+        private final String server;
+        private boolean done;
         private Link link;
 
-        Attempt(Node.Request request, int number, String server, double sent) {
-            this.request = request;
+        public Attempt(Work work, int number, String server, double sent) {
+            this.work = work;
             this.number = number;
             this.server = server;
             this.sent = sent;
         }
+
+        /** It is not to be sent at all, and is told elsewhere. */
+        public void drop() {
+            done = true;
+        }
     }
 
     /** A server as the list has it, with its connections. */
@@ -99,7 +129,9 @@
         }
     }
 
-    private final Node node;
+    private final Loop loop;
+    private final Health health;
+    private final Probed probed;
     private final Bootstrap bootstrap;
     private final Config config;
     private final int most;
@@ -107,23 +139,26 @@
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
     private int open;
 
-    ServerPool(Node node, EventLoopGroup group, Config config, int most) {
-        this.node = node;
+    /** @param most connections that are held at once; at the bound an idle one of another server makes room */
+    public ServerPool(Loop loop, Health health, Probed probed, Config config, int most) {
+        this.loop = loop;
+        this.health = health;
+        this.probed = probed;
         this.config = config;
         this.most = most;
-        bootstrap = new Bootstrap().group(group).channel(Transport.socket())
+        bootstrap = new Bootstrap().group(loop.group()).channel(loop.transport().socket())
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) config.connectTimeout());
     }
 
     /** Done when every server of the first list has had its connection come up or fail. */
-    CompletableFuture<Void> ready() {
+    public CompletableFuture<Void> ready() {
         return ready;
     }
 
     // ---- the list ----
 
     /** Servers that have changed. */
-    void listed(List<Entry> members) {
+    public void listed(List<Entry> members) {
         for (Entry m : members) {
             String id = m.server().id();
             Target old = targets.get(id);
@@ -158,27 +193,27 @@
         }
         while (!t.waiting.isEmpty()) {
             Attempt a = t.waiting.poll();
-            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            loop.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
         }
     }
 
     /** A connect to a server that is shown down, to see whether it lives; kept where that brings it back. */
-    void tryOut(String id) {
+    public void tryOut(String id) {
         Target t = targets.get(id);
         if (t != null && t.up && !t.links.isEmpty()) {
-            node.health().reachable(id); // a process that died would have reset it
+            health.reachable(id); // a process that died would have reset it
         } else if (t != null && t.connecting == 0 && (open < most || spare())) {
             connect(t);
         }
     }
 
-    void start() {
-        node.after(SWEEP, this::sweep);
+    public void start() {
+        loop.after(SWEEP, this::sweep);
     }
 
     private void sweep() {
-        node.after(SWEEP, this::sweep);
-        double before = node.now() - config.keepAlive() * RETIRE;
+        loop.after(SWEEP, this::sweep);
+        double before = loop.now() - config.keepAlive() * RETIRE;
         for (Target t : targets.values()) {
             while (!t.idle.isEmpty() && t.idle.peek().usedAt < before) {
                 t.idle.poll().channel.close();
@@ -195,22 +230,22 @@
 
     // ---- attempts ----
 
-    void send(Attempt a) {
+    public void send(Attempt a) {
         Target t = targets.get(a.server);
         if (t == null || !t.up) {
-            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            loop.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
             return;
         }
-        if (t.write(a, node.now())) {
+        if (t.write(a, loop.now())) {
             return;
         }
         if (!t.idle.isEmpty()) {
             t.waiting.add(a); // sooner than a new connection would be up
-            node.after(REST, () -> serve(t));
+            loop.after(REST, () -> serve(t));
             return;
         }
         if (open >= most && !spare()) {
-            node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            loop.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
             return;
         }
         t.waiting.add(a);
@@ -219,7 +254,7 @@
 
     /** The attempt that has waited longest goes first; none is left with no connection to come or to rest. */
     private void serve(Target t) {
-        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), node.now())) {
+        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), loop.now())) {
             t.waiting.poll();
         }
         if (t.waiting.size() > t.connecting + t.idle.size()) {
@@ -227,14 +262,14 @@
         }
     }
 
-    void probe(String server) {
-        Attempt a = new Attempt(null, 0, server, node.now());
-        node.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
+    public void probe(String server) {
+        Attempt a = new Attempt(null, 0, server, loop.now());
+        loop.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
         send(a);
     }
 
     /** Stops waiting for an attempt. One that was not written whole cannot have run. */
-    void giveUp(Attempt a, Gateway.Outcome outcome) {
+    public void giveUp(Attempt a, Gateway.Outcome outcome) {
         if (a.done) {
             return;
         }
@@ -258,10 +293,10 @@
             return;
         }
         a.done = true;
-        if (a.request == null) {
-            node.probed(a.server, outcome, node.now() - a.sent, load);
+        if (a.work == null) {
+            probed.probed(a.server, outcome, loop.now() - a.sent, load);
         } else {
-            node.attemptEnded(a, outcome, value, load);
+            a.work.ended(a, outcome, value, load);
         }
     }
 
@@ -295,10 +330,10 @@
             if (f.isSuccess()) {
                 t.links.add(link);
                 if (current) {
-                    node.health().reachable(t.id); // which may bring it back up
+                    health.reachable(t.id); // which may bring it back up
                 }
             } else if (f.cause() instanceof ConnectException && current) {
-                node.health().unreachable(t.id, !(f.cause() instanceof ConnectTimeoutException),
+                health.unreachable(t.id, !(f.cause() instanceof ConnectTimeoutException),
                     t.links.size());
             }
             if (!f.isSuccess()) {
@@ -306,7 +341,7 @@
                 // every attempt that waits began a connection: one too few now, and the oldest goes without
                 if (t.waiting.size() > t.connecting + t.idle.size()) {
                     Attempt a = t.waiting.poll(); // later: with no descriptor left it fails inside the send
-                    node.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+                    loop.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
                 }
             } else if (!t.up) {
                 link.channel.close();
@@ -316,7 +351,7 @@
                 serve(t);
             }
             isReady();
-            node.flush();
+            loop.flush();
         });
     }
 
@@ -339,23 +374,23 @@
             a.link = this;
             written = false;
             begun = false;
-            ArrayRedisMessage command = a.request == null ? Resp.command(channel.alloc(), "INFO", "load")
-                : a.request.call.forward(a.request.command, a.request.deadline - node.now(), channel.alloc());
+            ArrayRedisMessage command = a.work == null ? Resp.command(channel.alloc(), "INFO", "load")
+                : a.work.command(loop.now(), channel.alloc());
             channel.write(command).addListener(f -> {
                 if (current == a) {
                     written = f.isSuccess();
                 }
             });
-            node.flushLater(channel);
+            loop.flushLater(channel);
         }
 
         /** Ready for the next request, after a rest. */
         void free() {
-            usedAt = node.now();
+            usedAt = loop.now();
             if (target.up) {
                 target.idle.addLast(this);
                 if (!target.waiting.isEmpty()) {
-                    node.after(REST, () -> serve(target));
+                    loop.after(REST, () -> serve(target));
                 }
             } else {
                 channel.close();
@@ -383,21 +418,21 @@
         /** Takes an answer in one of the protocol's forms; false where it is in none: it may have run. */
         private boolean answered(Attempt a, RedisMessage msg) {
             if (msg instanceof ArrayRedisMessage array && !array.isNull() && array.children().size() == PARTS
-                && Resp.isValue(array.children().get(0)) && a.request != null) {
+                && Resp.isValue(array.children().get(0)) && a.work != null) {
                 List<RedisMessage> parts = array.children();
-                node.health().answered(target.id);
+                health.answered(target.id);
                 end(a, Gateway.Outcome.OK, parts.get(0), load(Resp.text(parts.get(2))));
             } else if (msg instanceof ErrorRedisMessage error) {
                 String text = error.content();
                 boolean busy = text.equals("BUSY") || text.startsWith("BUSY ");
                 if (!busy && !text.startsWith("ERR ")) {
-                    node.log("app server", new IllegalStateException(text));
+                    loop.log("app server", new IllegalStateException(text));
                     return false;
                 }
                 int space = text.lastIndexOf(' ');
                 end(a, busy ? Gateway.Outcome.FULL : Gateway.Outcome.ERROR, null,
                     text.indexOf('=', space) > 0 ? load(text.substring(space + 1)) : NO_LOAD);
-            } else if (a.request == null && Resp.isValue(msg)) {
+            } else if (a.work == null && Resp.isValue(msg)) {
                 end(a, Gateway.Outcome.OK, null, load(Resp.text(msg)));
             } else {
                 return false;
@@ -410,17 +445,17 @@
          * message would be taken for the next request's. One with half an answer is waited for, but not long.
          */
         @Override public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (current == null && raw.pending != 0) {
+            if (current == null && raw.pending() != 0) {
                 channel.close();
             } else if (answered) {
                 free();
-            } else if (current != null && raw.pending != 0 && !begun) {
+            } else if (current != null && raw.pending() != 0 && !begun) {
                 begun = true;
                 Attempt a = current;
-                node.after(WHOLE_WITHIN, () -> spoilt(a));
+                loop.after(WHOLE_WITHIN, () -> spoilt(a));
             }
             answered = false;
-            node.flush();
+            loop.flush();
         }
 
         private void spoilt(Attempt a) {
@@ -443,13 +478,13 @@
             if (a != null) {
                 end(a, written ? Gateway.Outcome.RESET : Gateway.Outcome.NO_CONNECTION, null, NO_LOAD);
             }
-            node.flush();
+            loop.flush();
         }
 
         @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             // behind our own close the codec tells only of what it had not read to its end
             if (!(cause instanceof java.io.IOException) && (current != null || channel.isActive())) {
-                node.log("app server connection", cause);
+                loop.log("app server connection", cause);
                 if (current != null) { // what came cannot be read: an error of this answer, not of the server
                     spoilt(current);
                 }
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -1,7 +1,6 @@
-package willowyoke.net;
+package willowyoke.node;
 
-import io.netty.channel.Channel;
-import io.netty.channel.EventLoopGroup;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
@@ -13,7 +12,6 @@
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -24,18 +22,23 @@
 import willowyoke.config.Config;
 import willowyoke.config.EdgeSettings;
 import willowyoke.loop.Loop;
-import willowyoke.loop.Transport;
+import willowyoke.loop.LoopThread;
 import willowyoke.membership.Entry;
 import willowyoke.membership.Limits;
+import willowyoke.net.client.ClientListener;
+import willowyoke.net.counter.CounterClient;
 import willowyoke.net.discovery.Members;
 import willowyoke.net.discovery.MembersJson;
 import willowyoke.net.discovery.Sources;
+import willowyoke.net.resp.Call;
+import willowyoke.net.server.ServerPool;
 
 /**
- * One real edge node: clock, timers and the table of requests, between the sockets and the decision module.
- * All of it runs on one event loop thread, the module too. It decides nothing.
+ * One real edge node: the table of requests, between the sockets and the decision module. All of it runs on one
+ * event loop thread, the module too; clock and event loop are given from outside. It decides nothing.
  */
-public final class Node implements Gateway.Actions, Loop, Members.View {
+public final class Node implements Gateway.Actions, Members.View, ClientListener.Requests, ServerPool.Probed,
+    CounterClient.Counted {
     /** How a decision module is made. */
     public interface Maker {
         Gateway.Events start(Gateway.Settings settings, long seed, double now, Gateway.Actions actions);
@@ -57,23 +60,21 @@
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
     private static final double TIMER_AGAIN = 20;
-    /** The log tells so many failures; a flood would only cost. */
-    private static final int LOGGED = 200;
     /** Longest wait (ms) that a client may name: past that its request is malformed. */
     private static final double LONGEST = 3_600_000;
 
     /** A request of a client, from its last byte to the end of its last attempt. */
-    static final class Request {
-        final long id;
-        final ClientListener.Slot slot;
-        final ArrayRedisMessage command;
-        final Call call;
-        final double deadline;
-        final int bytes;
-        final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
-        boolean over;
-        int out;
-        Future<?> timer;
+    private final class Request implements ClientListener.Taken, ServerPool.Work {
+        private final long id;
+        private final ClientListener.Slot slot;
+        private final ArrayRedisMessage command;
+        private final Call call;
+        private final double deadline;
+        private final int bytes;
+        private final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
+        private boolean over;
+        private int out;
+        private Future<?> timer;
 
         Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline) {
             this.id = id;
@@ -87,16 +88,44 @@
             }
             bytes = sum;
         }
+
+        @Override public void giveUp() {
+            Node.this.giveUp(this);
+        }
+
+        @Override public void gone() {
+            if (!over) {
+                over(this);
+                tell(m -> m.gone(loop.now(), id));
+                settle(this);
+            }
+        }
+
+        @Override public ArrayRedisMessage command(double now, ByteBufAllocator alloc) {
+            return call.forward(command, deadline - now, alloc);
+        }
+
+        @Override public void ended(ServerPool.Attempt a, Gateway.Outcome outcome, RedisMessage value,
+            double[] load) {
+            out--;
+            double now = loop.now();
+            if (outcome == Gateway.Outcome.OK && !over) {
+                over(this);
+                slot.answer(ReferenceCountUtil.retain(value));
+            }
+            boolean told = tell(m -> m.ended(now, id, a.number, outcome, now - a.sent, over, 0, load));
+            if (!told) {
+                Node.this.giveUp(this);
+            }
+            settle(this);
+        }
     }
 
     private final Config config;
     private final Maker maker;
-    private final EventLoopGroup group = Transport.loop();
-    private final long startedNanos = System.nanoTime();
-    private final double startedMs = System.currentTimeMillis();
+    private final Loop loop;
     private final LongObjectHashMap<Request> requests = new LongObjectHashMap<>();
     private final Set<String> ids = new HashSet<>();
-    private final Set<Channel> dirty = new LinkedHashSet<>();
     private final ClientListener clients;
     private final ServerPool servers;
     private final CounterClient counter;
@@ -106,26 +135,28 @@
     private Gateway.Events module;
     private long lastId;
     private long held;
-    private int logged;
     private Runnable lost = () -> { };
     private SocketAddress address;
 
     public Node(Config config, Maker maker) {
-        this(config, maker, null);
+        this(config, maker, null, LoopThread.real());
     }
 
-    /** @param membership the operators' own settings, or null where there are none */
-    public Node(Config config, Maker maker, EdgeSettings membership) {
+    /**
+     * @param membership the operators' own settings, or null where there are none
+     * @param loop which it is to live on, and which ends with it
+     */
+    public Node(Config config, Maker maker, EdgeSettings membership, Loop loop) {
         this.config = config;
         this.maker = maker;
-        clients = new ClientListener(this, (int) (config.sockets() * CLIENTS));
-        servers = new ServerPool(this, group, config, (int) (config.sockets() * SERVERS));
-        counter = new CounterClient(this, group, config.counter(), config.settings().allowed()
-            .counterTimeout());
+        this.loop = loop;
         agent = Members.agent(config.discovery());
         discovery = membership == null
-            ? new Members(this, this, Limits.defaults(config.settings().rules().warmAfter()), List.of(agent), 0)
-            : new Members(this, this, membership.limits(), Sources.of(membership, agent), membership.failOver());
+            ? new Members(loop, this, Limits.defaults(config.settings().rules().warmAfter()), List.of(agent), 0)
+            : new Members(loop, this, membership.limits(), Sources.of(membership, agent), membership.failOver());
+        clients = new ClientListener(loop, this, (int) (config.sockets() * CLIENTS));
+        servers = new ServerPool(loop, discovery, this, config, (int) (config.sockets() * SERVERS));
+        counter = new CounterClient(loop, this, config.counter(), config.settings().allowed().counterTimeout());
     }
 
     // ---- life ----
@@ -133,14 +164,14 @@
     /** Comes up, and listens only once it is ready: a front takes in what answers. */
     public void start() throws IOException {
         CompletableFuture<Void> ready = new CompletableFuture<>();
-        group.execute(() -> {
+        loop.group().execute(() -> {
             try {
-                module = maker.start(config.settings(), config.seed(), now(), this);
+                module = maker.start(config.settings(), config.seed(), loop.now(), this);
             } catch (RuntimeException e) {
                 ready.completeExceptionally(e);
                 return;
             }
-            discovery.start(config.known() == null ? null : MembersJson.of(config.known(), this::say));
+            discovery.start(config.known() == null ? null : MembersJson.of(config.known(), loop::say));
             counter.start();
             servers.start();
             clients.start();
@@ -163,7 +194,7 @@
             throw new IOException(e);
         }
         try {
-            address = clients.bind(group, config.listen());
+            address = clients.bind(config.listen());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -176,12 +207,12 @@
 
     /** A new configuration: discovery and counter may have moved. Any thread may bring it. */
     public void reload(Config told) {
-        group.execute(() -> guarded(() -> {
+        loop.later(() -> {
             Members.Place to = Members.agent(told.discovery());
             discovery.move(agent, to);
             agent = to;
             counter.move(told.counter());
-        }));
+        });
     }
 
     SocketAddress address() {
@@ -192,51 +223,24 @@
     public void drain() {
         double longest = config.settings().classes().stream()
             .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
-        group.execute(() -> {
-            after(STAY_OPEN, clients::close);
-            after(LISTEN_ON, () -> {
+        loop.group().execute(() -> {
+            loop.after(STAY_OPEN, clients::close);
+            loop.after(LISTEN_ON, () -> {
                 clients.unbind();
-                whenIdle(now() + longest + STAY_OPEN);
+                whenIdle(loop.now() + longest + STAY_OPEN);
             });
         });
         ended.join();
-        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
+        loop.group().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(500);
     }
 
     /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
     private void whenIdle(double until) {
-        if (clients.idle() || now() >= until) {
+        if (clients.idle() || loop.now() >= until) {
             ended.complete(null);
         } else {
-            after(5, () -> whenIdle(until));
-        }
-    }
-
-    /**
-     * The module's clock: milliseconds of one monotonic clock, set once to Unix time. So born_ms needs no
-     * translation, and the names on the counter, which the module cuts by time, are alike at all edge nodes.
-     */
-    @Override public double now() {
-        return startedMs + (System.nanoTime() - startedNanos) / 1e6;
-    }
-
-    @Override public Future<?> after(double delay, Runnable what) {
-        long nanos = Math.max(0, Math.round(delay * 1e6));
-        return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
-    }
-
-    /** An outcome is told after the action that led to it has returned, as on the simulator. */
-    void later(Runnable what) {
-        group.execute(() -> guarded(what));
-    }
-
-    private void guarded(Runnable what) {
-        try {
-            what.run();
-        } catch (RuntimeException | Error e) {
-            log("event", e);
+            loop.after(5, () -> whenIdle(until));
         }
-        flush();
     }
 
     /** Tells the module; an exception in it is logged and never gets to the loop. */
@@ -245,51 +249,19 @@
             event.accept(module);
             return true;
         } catch (RuntimeException | Error e) {
-            log("module", e);
+            loop.log("module", e);
             return false;
         }
     }
 
-    @Override public void log(String where, Throwable what) {
-        StackTraceElement[] at = what.getStackTrace();
-        say(where + ": " + what + (at.length > 0 ? " at " + at[0] : ""));
-    }
-
-    @Override public void say(String line) {
-        if (++logged <= LOGGED) {
-            System.err.println(line);
-        }
-    }
-
-    @Override public EventLoopGroup group() {
-        return group;
-    }
-
-    void flushLater(Channel channel) {
-        dirty.add(channel);
-    }
-
-    /** Writes out what the events of this round have left on the connections. */
-    @Override public void flush() {
-        if (!dirty.isEmpty()) {
-            Channel[] all = dirty.toArray(new Channel[0]);
-            dirty.clear();
-            for (Channel channel : all) {
-                channel.flush();
-            }
-        }
-    }
+    // ---- from clients ----
 
-    /** Whether so much is held that clients should be read no further. */
-    boolean full() {
+    @Override public boolean full() {
         return held > HELD;
     }
 
-    // ---- from clients ----
-
-    /** Takes a request; answers what is wrong with it, or null. */
-    String take(ClientListener.Slot slot, ArrayRedisMessage command) {
-        double now = now();
+    @Override public String take(ClientListener.Slot slot, ArrayRedisMessage command) {
+        double now = loop.now();
         Call call;
         try {
             call = Call.of(command, config.settings());
@@ -304,10 +276,10 @@
         }
         double patience = Math.max(1, call.patience() - WAY_BACK);
         Request r = new Request(++lastId, slot, retained(command), call, now + patience);
-        slot.request = r;
+        slot.take(r);
         held += r.bytes;
         requests.put(r.id, r);
-        r.timer = after(patience + 1, () -> waited(r));
+        r.timer = loop.after(patience + 1, () -> waited(r));
         if (!tell(m -> m.arrived(now, new Gateway.Request(r.id, call.type(), call.plan(), call.customer(),
             patience, call.units(), call.spread(), call.first(), call.again())))) {
             giveUp(r);
@@ -326,23 +298,15 @@
             servers.giveUp(a, Gateway.Outcome.TIMEOUT);
         }
         if (!r.over) {
-            r.timer = after(LAST_WORD, () -> giveUp(r));
+            r.timer = loop.after(LAST_WORD, () -> giveUp(r));
         }
     }
 
     /** A request that the module has let lie or choked on fails; each request gets one answer. */
-    void giveUp(Request r) {
+    private void giveUp(Request r) {
         if (!r.over) {
             answer(r, new ErrorRedisMessage("ERR failed"));
-            tell(m -> m.gone(now(), r.id));
-        }
-    }
-
-    void gone(Request r) {
-        if (!r.over) {
-            over(r);
-            tell(m -> m.gone(now(), r.id));
-            settle(r);
+            tell(m -> m.gone(loop.now(), r.id));
         }
     }
 
@@ -354,7 +318,7 @@
 
     private void over(Request r) {
         r.over = true;
-        r.slot.request = null;
+        r.slot.take(null);
         if (r.out == 0) {
             r.timer.cancel(false);
         }
@@ -376,27 +340,12 @@
 
     // ---- from servers, counter and discovery ----
 
-    void attemptEnded(ServerPool.Attempt a, Gateway.Outcome outcome, RedisMessage value, double[] load) {
-        Request r = a.request;
-        r.out--;
-        double now = now();
-        if (outcome == Gateway.Outcome.OK && !r.over) {
-            over(r);
-            r.slot.answer(ReferenceCountUtil.retain(value));
-        }
-        boolean told = tell(m -> m.ended(now, r.id, a.number, outcome, now - a.sent, r.over, 0, load));
-        if (!told) {
-            giveUp(r);
-        }
-        settle(r);
-    }
-
-    void probed(String server, Gateway.Outcome outcome, double took, double[] load) {
-        tell(m -> m.probed(now(), server, outcome, took, load));
+    @Override public void probed(String server, Gateway.Outcome outcome, double took, double[] load) {
+        tell(m -> m.probed(loop.now(), server, outcome, took, load));
     }
 
-    void counted(long name, Gateway.Outcome outcome, double took, double total) {
-        tell(m -> m.counted(now(), name, outcome, took, total));
+    @Override public void counted(long name, Gateway.Outcome outcome, double took, double total) {
+        tell(m -> m.counted(loop.now(), name, outcome, took, total));
     }
 
     /** The pool hears first, so that nothing that still waits for a connection goes to one that drains. */
@@ -406,7 +355,7 @@
         for (Entry e : entries) {
             list.add(e.server());
         }
-        tell(m -> m.servers(now(), list, whole));
+        tell(m -> m.servers(loop.now(), list, whole));
     }
 
     @Override public void discoveryRefuses() {
@@ -414,18 +363,22 @@
     }
 
     @Override public void discoveryFailed() {
-        tell(m -> m.discoveryFailed(now()));
+        tell(m -> m.discoveryFailed(loop.now()));
     }
 
     @Override public void tryOut(String id) {
         servers.tryOut(id);
     }
 
-    /** What connections to servers show of them. */
-    Members health() {
+    /** The view of the servers, and how sure it is. */
+    Members members() {
         return discovery;
     }
 
+    Loop loop() {
+        return loop;
+    }
+
     // ---- actions of the module ----
 
     @Override public void send(long id, String server, double until) {
@@ -433,16 +386,16 @@
         if (r == null) {
             return;
         }
-        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, now());
+        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, loop.now());
         r.attempts.add(a);
         r.out++;
         if (r.over || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
-            a.done = true;
-            later(() -> attemptEnded(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
+            a.drop();
+            loop.later(() -> r.ended(a, Gateway.Outcome.NOT_SENT, null, ServerPool.NO_LOAD));
             return;
         }
         if (until > 0 && until < r.deadline) {
-            after(until - a.sent, () -> servers.giveUp(a, Gateway.Outcome.TIMEOUT));
+            loop.after(until - a.sent, () -> servers.giveUp(a, Gateway.Outcome.TIMEOUT));
         }
         servers.send(a);
     }
@@ -451,7 +404,7 @@
         Request r = requests.get(id);
         if (r != null && attempt >= 0 && attempt < r.attempts.size()) {
             ServerPool.Attempt a = r.attempts.get(attempt);
-            later(() -> servers.giveUp(a, Gateway.Outcome.CANCELLED));
+            loop.later(() -> servers.giveUp(a, Gateway.Outcome.CANCELLED));
         }
     }
 
@@ -470,10 +423,10 @@
     }
 
     @Override public void timer(double delay, long token) {
-        double due = now() + delay;
-        after(delay, () -> {
+        double due = loop.now() + delay;
+        loop.after(delay, () -> {
             // the module keeps one timer for all: lost with an exception, nothing would fall due again
-            if (!tell(m -> m.timer(Math.max(now(), due), token))) {
+            if (!tell(m -> m.timer(Math.max(loop.now(), due), token))) {
                 timer(TIMER_AGAIN, token);
             }
         });
--- a/src/main/java/willowyoke/node/Prime.java
+++ b/src/main/java/willowyoke/node/Prime.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -15,9 +15,9 @@
  * One start and end of an edge node at build time, among stand-ins on loopback, so that the JVM can write the
  * archive of classes that such a start loads. Nothing of it is kept but that archive.
  */
-public final class Rehearsal implements AutoCloseable {
+public final class Prime implements AutoCloseable {
     private static final String CONFIG = """
-        {"name":"rehearsal","listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","counter":"127.0.0.1:%1$d",
+        {"name":"prime","listen":"127.0.0.1:0","discovery":"127.0.0.1:%1$d","counter":"127.0.0.1:%1$d",
          "seed":"1","known":%2$s,
          "settings":{"rank":0,"group_size":2,"tick":4,"feedback":{"fields":["utilization"]},
           "limits":{"probing":true,"cancelling":true,"retry_after":true,"send_cap":5,"max_retry_after":2000},
@@ -34,9 +34,9 @@
         """;
 
     private final ServerSocket peers = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-    private final Path file = Files.createTempFile("rehearsal", ".json");
+    private final Path file = Files.createTempFile("prime", ".json");
 
-    public Rehearsal() throws IOException {
+    public Prime() throws IOException {
         String list = String.format(LIST, peers.getLocalPort());
         Files.writeString(file, String.format(CONFIG, peers.getLocalPort(), list));
         Thread answering = new Thread(() -> answer(peers, list), "stand-ins");
@@ -79,14 +79,14 @@
                             }
                         }
                     } catch (IOException e) {
-                        // the rehearsal has ended
+                        // it is done
                     }
                 });
                 reading.setDaemon(true);
                 reading.start();
             }
         } catch (IOException e) {
-            // the rehearsal has ended
+            // it is done
         }
     }
 }
--- a/src/main/java/willowyoke/node/Warmup.java
+++ b/src/main/java/willowyoke/node/Warmup.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -14,6 +14,9 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import willowyoke.Gateway;
+import willowyoke.net.resp.Call;
+import willowyoke.net.resp.Resp;
+import willowyoke.net.server.ServerPool;
 
 /**
  * Runs the code of the ordinary path before the edge node is ready, so that the JVM has compiled it: on part
--- a/src/main/java/willowyoke/sim/Wire.java
+++ b/src/main/java/willowyoke/sim/Wire.java
@@ -1,4 +1,4 @@
-package willowyoke;
+package willowyoke.sim;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -9,12 +9,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import willowyoke.Decide;
+import willowyoke.Gateway;
 import willowyoke.config.SettingsReader;
 
 /** The text wire: parses batches into events, prints actions, hosts many instances. It decides nothing. */
-final class Wire {
+public final class Wire {
     /** A line of input that cannot be understood; the message names line and field. */
-    static final class Malformed extends RuntimeException {
+    public static final class Malformed extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         Malformed(String message) {
@@ -85,7 +87,7 @@
     private Integer current;
 
     /** Reads batches until the input ends. */
-    void run(BufferedReader input, PrintStream out) throws IOException {
+    public void run(BufferedReader input, PrintStream out) throws IOException {
         in = input;
         for (String line = next(); line != null; line = next()) {
             if (line.isEmpty()) {
--- /dev/null
+++ b/src/test/java/willowyoke/ArchitectureTest.java
@@ -0,0 +1,46 @@
+package willowyoke;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.base.DescribedPredicate;
+
+/** How the packages may lean on each other: a reader finds the room by its name, and a core stays one. */
+@AnalyzeClasses(packages = "willowyoke", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+    /** What decides: the decision module with its seam, and the cores of subsystems as they come. */
+    private static final DescribedPredicate<JavaClass> CORES = DescribedPredicate.describe("are cores", c ->
+        c.getPackageName().equals("willowyoke.membership")
+            || c.getName().matches("willowyoke\\.(Decide|Gateway)(\\$.*)?"));
+
+    @ArchTest static final ArchRule NO_CYCLES = slices().matching("willowyoke.(**)").should().beFreeOfCycles();
+
+    /** The root holds the command line, the module and its seam; of the rest only the first needs anything. */
+    @ArchTest static final ArchRule THE_MODULE_KNOWS_NOBODY = noClasses().that().haveNameMatching(
+        "willowyoke\\.(Decide|Gateway)(\\$.*)?").should().dependOnClassesThat().resideInAPackage("willowyoke.*..");
+
+    @ArchTest static final ArchRule CORES_DO_NO_IO = noClasses().that(CORES).should().dependOnClassesThat()
+        .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
+            "java.time..");
+
+    @ArchTest static final ArchRule CORES_HAVE_NO_CLOCK_OR_THREAD = noClasses().that(CORES).should()
+        .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
+        .orShould().dependOnClassesThat().areAssignableTo(Thread.class);
+
+    /** Chance comes from a seed, so that a run can be had again. */
+    @ArchTest static final ArchRule CORES_DRAW_FROM_A_SEED = noClasses().that(CORES).should()
+        .callMethod(Math.class, "random").orShould().callConstructor(java.util.Random.class)
+        .orShould().callMethod(java.util.UUID.class, "randomUUID");
+
+    @ArchTest static final ArchRule WHAT_SERVES_KNOWS_NO_STAND_IN = noClasses().that()
+        .resideOutsideOfPackages("willowyoke.standin..", "willowyoke.kit..").and().doNotHaveSimpleName("Main")
+        .should().dependOnClassesThat().resideInAnyPackage("willowyoke.standin..", "willowyoke.kit..");
+
+    @ArchTest static final ArchRule CONNECTIONS_KNOW_PORTS = noClasses().that().resideInAPackage("willowyoke.net..")
+        .should().dependOnClassesThat().resideInAnyPackage("willowyoke.node..", "willowyoke.sim..");
+}
--- a/src/test/java/willowyoke/net/discovery/SourcesTest.java
+++ b/src/test/java/willowyoke/net/discovery/SourcesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -60,6 +61,16 @@
             return group;
         }
 
+        @Override public void later(Runnable what) {
+            group.execute(what);
+        }
+
+        @Override public Transport transport() {
+            return Transport.SOCKETS;
+        }
+
+        @Override public void flushLater(Channel channel) { }
+
         @Override public void flush() { }
 
         @Override public void log(String where, Throwable what) {
--- a/src/test/java/willowyoke/node/HealthTest.java
+++ b/src/test/java/willowyoke/node/HealthTest.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -19,7 +19,7 @@
     }
 
     private static Membership.Figures figures(Rig rig) {
-        return CompletableFuture.supplyAsync(() -> rig.node.health().figures(), rig.node.group()).join();
+        return CompletableFuture.supplyAsync(() -> rig.node.members().figures(), rig.node.loop().group()).join();
     }
 
     /** The process dies, its entry lives on: nothing more is sent. It comes back, and is cold. */
--- a/src/test/java/willowyoke/node/NodeTest.java
+++ b/src/test/java/willowyoke/node/NodeTest.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -16,7 +16,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import willowyoke.loop.Clock;
+import willowyoke.loop.LoopThread;
 import willowyoke.loop.Transport;
+import willowyoke.net.client.ClientListener;
 
 /** Calls through the edge node: order, outcomes, lists, counter, its end. */
 class NodeTest extends NodeFixture {
@@ -295,7 +298,8 @@
         EventLoopGroup group = Transport.loop();
         try {
             Thread.currentThread().interrupt();
-            assertThrows(InterruptedException.class, () -> new ClientListener(node, 8).bind(group, address));
+            LoopThread loop = new LoopThread(group, Transport.SOCKETS, Clock.system(), line -> { });
+            assertThrows(InterruptedException.class, () -> new ClientListener(loop, node, 8).bind(address));
             group.submit(() -> { }).sync(); // the bind that was left to the loop is done
             group.submit(() -> { }).sync();
             try (Peer.Line line = Peer.Line.to(address.getPort())) {
--- a/src/test/java/willowyoke/node/Rig.java
+++ b/src/test/java/willowyoke/node/Rig.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
--- a/src/test/java/willowyoke/node/StallTest.java
+++ b/src/test/java/willowyoke/node/StallTest.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -23,7 +23,7 @@
  */
 @Timeout(180)
 class StallTest {
-    private static final int RIGS = 4;
+    private static final int RIGS = 6;
     /** A byte at which a stall is not survived is late each time; a machine that was elsewhere is not. */
     private static final int TURNS = 3;
 
--- a/src/test/java/willowyoke/node/WatchTest.java
+++ b/src/test/java/willowyoke/node/WatchTest.java
@@ -1,4 +1,4 @@
-package willowyoke.net;
+package willowyoke.node;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
