try: one edge node and its world on loopback, with stand-ins for all it talks to

Change: EnrolmentServer on the core Capacity (processor sharing, waiting room, cold start, neighbour) and Rack (repeats within the window), Counter (calls a second, queue, names that end), CampusClients on Arrivals (drawn ahead from a seed; a time counts from when it was due), each with faults; World; the command try by picocli, which serve does not load (StartTest holds it).

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -17,6 +17,7 @@
 import willowyoke.config.ConfigFile;
 import willowyoke.config.EdgeSettings;
 import willowyoke.config.SettingsReader;
+import willowyoke.kit.Kit;
 import willowyoke.loop.LoopThread;
 import willowyoke.node.Node;
 import willowyoke.node.Prime;
@@ -25,8 +26,8 @@
 import willowyoke.sim.Wire;
 
 /**
- * The command line: {@code drill} speaks the simulator's wire, {@code serve} is a real edge node, and
- * {@code prime} starts one at build time for the archive of classes.
+ * The command line: {@code try} is for a first look, {@code drill} speaks the simulator's wire, {@code serve} is a
+ * real edge node, and {@code prime} starts one at build time for the archive of classes.
  */
 public final class Main {
     private static final AtomicReference<Node> RUNNING = new AtomicReference<>();
@@ -35,6 +36,7 @@
 
     private static final String USAGE = """
         usage: willowyoke COMMAND
+          try                       one edge node and its world on loopback, for a first look; try --help
           serve [--settings FILE]   one edge node, until SIGTERM; EDGE_CONFIG names the platform's configuration,
                                     FILE the operators' own settings (deploy/edge.toml shows them all)
           check-settings FILE       what serve would say of the settings in FILE; exit 2 where it would refuse them
@@ -57,6 +59,9 @@
             System.out.println(args[1] + ": good");
             return;
         }
+        if (args.length > 0 && args[0].equals("try")) {
+            System.exit(Kit.run(args));
+        }
         if (args.length == 0 || List.of(args).contains("--help") || args[0].equals("help")) {
             (args.length == 0 ? System.err : System.out).println(USAGE);
             System.exit(args.length == 0 ? 2 : 0);
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -215,7 +215,8 @@
         });
     }
 
-    SocketAddress address() {
+    /** Where clients come, once it has started. */
+    public SocketAddress address() {
         return address;
     }
 
--- /dev/null
+++ b/src/main/java/willowyoke/standin/CampusClients.java
@@ -0,0 +1,246 @@
+package willowyoke.standin;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
+import io.netty.handler.codec.redis.ErrorRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.Random;
+import java.util.Set;
+import willowyoke.loop.Loop;
+import willowyoke.net.resp.Resp;
+
+/**
+ * Stand-in clients of an edge node, from the protocol page: they ask at the times drawn ahead, whatever became of what
+ * they asked before, and a request's time counts from when it was due (no coordinated omission; G. Tene). A refusal is
+ * tried again as told, a failure a few times, each with a new id; a client whose patience is over closes its
+ * connection.
+ * All methods are for the loop's thread.
+ */
+public final class CampusClients {
+    /** What became of a try. */
+    public enum Fate { SERVED, REFUSED, FAILED, LOST, GIVEN_UP, NOT_CONNECTED }
+
+    /** Who hears what became of each try. */
+    public interface Heard {
+        /** @param ms since it was due, for a retry since it was sent */
+        void ended(Arrivals.Arrival of, int retry, Fate fate, double ms);
+    }
+
+    /**
+     * @param retries at most, of a request that was refused or failed
+     * @param retryAfterMs where the answer says nothing of it
+     * @param obeys whether what an answer says of coming back is heeded
+     */
+    public record Habits(int retries, double retryAfterMs, boolean obeys) {
+        public static final Habits USUAL = new Habits(2, 200, true);
+    }
+
+    private static final int ELEMENTS = 8;
+    private static final double CONNECT = 1000;
+    /** Late by more than this (ms), a due arrival is sent at once all the same; never is one left out. */
+    private static final double AHEAD = 1;
+
+    private final Loop loop;
+    private final Arrivals arrivals;
+    private final Habits habits;
+    private final Heard heard;
+    private final SocketAddress node;
+    private final Random random;
+    private final ArrayDeque<Line> idle = new ArrayDeque<>();
+    private final Set<Line> lines = new LinkedHashSet<>();
+    private double startedAt;
+    private boolean ended;
+    private int open;
+    private long ids;
+
+    /** @param seed of ids and of the spread of retries */
+    public CampusClients(Loop loop, Arrivals arrivals, Habits habits, SocketAddress node, Heard heard, long seed) {
+        this.loop = loop;
+        this.arrivals = arrivals;
+        this.habits = habits;
+        this.node = node;
+        this.heard = heard;
+        random = new Random(seed);
+    }
+
+    public void start() {
+        startedAt = loop.now();
+        due(arrivals.next());
+    }
+
+    /** Asks nothing more; what is open may end. */
+    public void stop() {
+        ended = true;
+    }
+
+    /** Tries that have no end yet. */
+    public int open() {
+        return open;
+    }
+
+    /** Asks nothing more and closes what is open: those tries are told as lost. */
+    public void close() {
+        ended = true;
+        for (Line line : lines.toArray(new Line[0])) {
+            line.channel.close();
+        }
+    }
+
+    private void due(Arrivals.Arrival next) {
+        Arrivals.Arrival a = next;
+        while (!ended && startedAt + a.at() <= loop.now() + AHEAD) {
+            ask(new Try(a, 0, startedAt + a.at()));
+            a = arrivals.next();
+        }
+        Arrivals.Arrival later = a;
+        if (!ended) {
+            loop.after(Math.max(0, startedAt + a.at() - loop.now()), () -> due(later));
+        }
+    }
+
+    private final class Try {
+        private final Arrivals.Arrival of;
+        private final int retry;
+        private final double from;
+        private Line line;
+        private Future<?> patience;
+        private boolean over;
+
+        Try(Arrivals.Arrival of, int retry, double from) {
+            this.of = of;
+            this.retry = retry;
+            this.from = from;
+        }
+
+        void end(Fate fate, double again) {
+            if (over) {
+                return;
+            }
+            over = true;
+            open--;
+            patience.cancel(false);
+            heard.ended(of, retry, fate, loop.now() - from);
+            if (!ended && retry < habits.retries && again >= 0) {
+                double wait = again * (0.75 + 0.5 * random.nextDouble());
+                loop.after(wait, () -> ask(new Try(of, retry + 1, loop.now())));
+            }
+        }
+    }
+
+    private void ask(Try t) {
+        if (ended) {
+            return;
+        }
+        open++;
+        t.patience = loop.after(t.from + t.of.kind().patienceMs() - loop.now(), () -> {
+            t.end(Fate.GIVEN_UP, -1);
+            if (t.line != null) {
+                t.line.channel.close();
+            }
+        });
+        for (Line line = idle.pollLast(); line != null; line = idle.pollLast()) {
+            if (line.channel.isActive()) {
+                line.write(t);
+                return;
+            }
+        }
+        Line line = new Line();
+        ChannelFuture connected = new Bootstrap().group(loop.group()).channel(loop.transport().socket())
+            .option(io.netty.channel.ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override protected void initChannel(Channel channel) {
+                    Resp.codec(channel.pipeline(), ELEMENTS);
+                    channel.pipeline().addLast(line);
+                }
+            }).connect(node);
+        connected.addListener(f -> {
+            if (f.isSuccess()) {
+                line.channel = connected.channel();
+                lines.add(line);
+                if (t.over) {
+                    idle.addLast(line);
+                } else {
+                    line.write(t);
+                }
+            } else {
+                t.end(Fate.NOT_CONNECTED, habits.retryAfterMs);
+            }
+        });
+    }
+
+    private final class Line extends ChannelInboundHandlerAdapter {
+        private Channel channel;
+        private Try current;
+
+        void write(Try t) {
+            current = t;
+            t.line = this;
+            Arrivals.Arrival a = t.of;
+            long left = Math.max(1, Math.round(t.from + a.kind().patienceMs() - loop.now()));
+            String list = "c=" + a.kind().name() + ",t=" + a.campus().plan() + ",d=" + left
+                + (a.key() == null ? "" : ",k=" + a.key()) + ",units=1,spread=1,first=0" + (t.retry > 0 ? ",r=1" : "");
+            String id = Long.toHexString(++ids);
+            ArrayRedisMessage command = a.key() == null
+                ? Resp.command(channel.alloc(), "CALL.GET", a.campus().customer(), id, list)
+                : Resp.command(channel.alloc(), "CALL.POST", a.campus().customer(), id, list, "body");
+            channel.writeAndFlush(command);
+        }
+
+        @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            Try t = current;
+            current = null;
+            try {
+                if (t == null) {
+                    ctx.close(); // an answer to nothing
+                    return;
+                }
+                idle.addLast(this);
+                told(t, (RedisMessage) msg);
+            } finally {
+                ReferenceCountUtil.release(msg);
+            }
+        }
+
+        private void told(Try t, RedisMessage msg) {
+            boolean value = Resp.isValue(msg) || msg instanceof ArrayRedisMessage array && !array.isNull()
+                && !array.children().isEmpty() && Resp.isValue(array.children().get(0));
+            if (value) {
+                t.end(Fate.SERVED, -1);
+            } else if (msg instanceof ErrorRedisMessage error && error.content().startsWith("BUSY")) {
+                t.end(Fate.REFUSED, habits.obeys ? after(error.content()) : 0);
+            } else {
+                t.end(Fate.FAILED, habits.retryAfterMs);
+            }
+        }
+
+        private double after(String busy) {
+            try {
+                return busy.length() > 5 ? Math.max(0, Double.parseDouble(busy.substring(5))) : habits.retryAfterMs;
+            } catch (NumberFormatException e) {
+                return habits.retryAfterMs;
+            }
+        }
+
+        @Override public void channelInactive(ChannelHandlerContext ctx) {
+            lines.remove(this);
+            idle.remove(this);
+            if (current != null) {
+                current.end(Fate.LOST, habits.retryAfterMs);
+            }
+        }
+
+        @Override public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/test/java/willowyoke/ArchitectureTest.java
+++ b/src/test/java/willowyoke/ArchitectureTest.java
@@ -16,6 +16,7 @@
     /** What decides: the decision module with its seam, and the cores of subsystems as they come. */
     private static final DescribedPredicate<JavaClass> CORES = DescribedPredicate.describe("are cores", c ->
         c.getPackageName().equals("willowyoke.membership")
+            || c.getName().matches("willowyoke\\.standin\\.(Capacity|Rack|Arrivals)(\\$.*)?")
             || c.getName().matches("willowyoke\\.(Decide|Gateway)(\\$.*)?"));
 
     @ArchTest static final ArchRule NO_CYCLES = slices().matching("willowyoke.(**)").should().beFreeOfCycles();
@@ -25,8 +26,8 @@
         "willowyoke\\.(Decide|Gateway)(\\$.*)?").should().dependOnClassesThat().resideInAPackage("willowyoke.*..");
 
     @ArchTest static final ArchRule CORES_DO_NO_IO = noClasses().that(CORES).should().dependOnClassesThat()
-        .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.channels..", "java.nio.file..", "java.util.concurrent..",
-            "java.time..");
+        .resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.channels..", "java.nio.file..",
+            "java.util.concurrent..", "java.time..");
 
     @ArchTest static final ArchRule CORES_HAVE_NO_CLOCK_OR_THREAD = noClasses().that(CORES).should()
         .callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis")
--- a/src/test/java/willowyoke/node/Peer.java
+++ b/src/test/java/willowyoke/node/Peer.java
@@ -15,9 +15,9 @@
 import java.util.concurrent.LinkedBlockingQueue;
 
 /** The other side for tests: plain blocking sockets of the loopback address; the test reads and writes. */
-final class Peer implements Closeable {
+public final class Peer implements Closeable {
     /** One connection, with the commands or lines that are read from it by hand. */
-    static final class Line implements Closeable {
+    public static final class Line implements Closeable {
         final Socket socket;
         final InputStream in;
 
@@ -27,11 +27,15 @@
             in = new BufferedInputStream(socket.getInputStream());
         }
 
-        static Line to(int port) throws IOException {
+        public Socket socket() {
+            return socket;
+        }
+
+        public static Line to(int port) throws IOException {
             return new Line(new Socket(InetAddress.getLoopbackAddress(), port));
         }
 
-        String line() throws IOException {
+        public String line() throws IOException {
             StringBuilder text = new StringBuilder();
             for (int c = in.read(); c != '\n'; c = in.read()) {
                 if (c < 0) {
@@ -43,7 +47,7 @@
         }
 
         /** Reads one RESP message: an array as its parts, a bulk string as one part, else the line. */
-        List<String> message() throws IOException {
+        public List<String> message() throws IOException {
             String head = line();
             List<String> parts = new ArrayList<>();
             if (head.startsWith("*")) {
@@ -51,7 +55,12 @@
                     parts.addAll(message());
                 }
             } else if (head.startsWith("$")) {
-                byte[] value = in.readNBytes(Integer.parseInt(head.substring(1)) + 2);
+                int length = Integer.parseInt(head.substring(1));
+                if (length < 0) {
+                    parts.add(null);
+                    return parts;
+                }
+                byte[] value = in.readNBytes(length + 2);
                 parts.add(new String(value, 0, value.length - 2, StandardCharsets.ISO_8859_1));
             } else {
                 parts.add(head);
@@ -59,11 +68,11 @@
             return parts;
         }
 
-        void write(String text) throws IOException {
+        public void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
-        void command(String... words) throws IOException {
+        public void command(String... words) throws IOException {
             StringBuilder text = new StringBuilder("*" + words.length + "\r\n");
             for (String word : words) {
                 text.append('$').append(word.length()).append("\r\n").append(word).append("\r\n");
@@ -76,7 +85,7 @@
             write("*3\r\n$" + value.length() + "\r\n" + value + "\r\n$-1\r\n$-1\r\n");
         }
 
-        boolean ended() throws IOException {
+        public boolean ended() throws IOException {
             try {
                 return in.read() < 0;
             } catch (java.net.SocketException reset) {
--- a/src/test/java/willowyoke/node/StartTest.java
+++ b/src/test/java/willowyoke/node/StartTest.java
@@ -21,9 +21,12 @@
 /** A start in a JVM of its own: while it lasts the edge node is down. */
 @Timeout(60)
 class StartTest {
-    /** Classes that cost much at a start and are of no use in it: recording, locales, formats, records compared. */
+    /**
+     * Classes that cost much at a start and are of no use in it: recording, locales, formats, records compared; and all
+     * of the kit, which serve must not pay for.
+     */
     private static final List<String> NOT_AT_A_START = List.of("jdk.jfr.EventType", "sun.util.cldr.",
-        "java.util.Formatter", "java.lang.runtime.ObjectMethods");
+        "java.util.Formatter", "java.lang.runtime.ObjectMethods", "willowyoke.kit.", "willowyoke.standin.", "picocli.");
 
     private static String run() throws Exception {
         for (String line : Files.readAllLines(Path.of("deploy/balancer.toml"))) {
