--- a/src/main/java/willowyoke/kit/VirtualLoop.java
+++ b/src/main/java/willowyoke/kit/VirtualLoop.java
@@ -9,7 +9,8 @@
 
 /**
  * An event loop in virtual time: nothing happens between two timers, so time jumps from one to the next. Belongs to
- * the thread that made it, which drives it by {@link #runUntil}; all that lives on it runs there, in one order for one seed.
+ * the thread that made it, which drives it by {@link #runUntil}; all that lives on it runs there, in one order for
+ * one seed.
  */
 final class VirtualLoop extends ManualIoEventLoop implements Clock {
     /** Unix time (ms) at which each virtual day begins: counter names are cut by time, so it is part of a run. */
