A start that fails ends at once; try leaves no thread behind; unused parts go

World kept the node's thread where the port was taken.

Change: whatever fails while it comes up fails the start; the timer of a late start is cancelled. World ends both loops. Methods of the stand-ins and of the simulation that nothing calls are gone.

Measured: NodeTest, with a module that throws an Error at its start (with the old code it does not end), and the tests of the kit pass.

--- a/src/main/java/willowyoke/kit/Simulation.java
+++ b/src/main/java/willowyoke/kit/Simulation.java
@@ -39,10 +39,10 @@
     private final List<EnrolmentServer> servers = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
     private final Discovery discovery;
-    private final Counter counter;
     private final Map<CampusClients.Fate, Integer> fates = new EnumMap<>(CampusClients.Fate.class);
     private final List<CampusClients> clients = new ArrayList<>();
-    private double startedAt;
+    /** How far the day has gone (ms). */
+    private double elapsed;
 
     /**
      * @param config of the node at a place; {@code log} hears the nodes' lines
@@ -52,7 +52,7 @@
         throws IOException, InterruptedException {
         shared = new LoopThread(loop, transport, loop, log);
         discovery = new Discovery(shared, 0, trace).start(address(1, 1));
-        counter = new Counter(shared, Counter.Size.USUAL, trace).start(address(1, 2));
+        new Counter(shared, Counter.Size.USUAL, trace).start(address(1, 2));
         Rack[] racks = {new Rack("a", 0, WINDOW), new Rack("b", 1, WINDOW)};
         for (int i = 0; i < serverCount; i++) {
             EnrolmentServer server = new EnrolmentServer(shared, "s" + i, racks[i % racks.length], size,
@@ -75,7 +75,7 @@
                 throw new IllegalStateException("no edge node came up");
             }
         }
-        startedAt = until;
+        elapsed = until;
     }
 
     private static InetSocketAddress address(int net, int number) {
@@ -97,15 +97,15 @@
         asking.start();
     }
 
-    /** At so many ms from the day's beginning. */
+    /** So many ms from now. */
     void at(double ms, Runnable what) {
         shared.after(ms, what);
     }
 
     /** Lets the day go on for so long (ms). */
     void run(double ms) {
-        startedAt += ms;
-        loop.runUntil(startedAt);
+        elapsed += ms;
+        loop.runUntil(elapsed);
     }
 
     /** Clients ask nothing more, and each open try comes to its end. */
@@ -124,10 +124,6 @@
         return discovery;
     }
 
-    Counter counter() {
-        return counter;
-    }
-
     Trace trace() {
         return trace;
     }
@@ -135,8 +131,4 @@
     Map<CampusClients.Fate, Integer> fates() {
         return fates;
     }
-
-    long tasks() {
-        return loop.tasks();
-    }
 }
--- a/src/main/java/willowyoke/kit/VirtualLoop.java
+++ b/src/main/java/willowyoke/kit/VirtualLoop.java
@@ -19,7 +19,6 @@
     private static final int ENDLESS = 10_000_000;
 
     private final MockTicker ticker;
-    private long tasks;
 
     VirtualLoop() {
         this(Ticker.newMockTicker());
@@ -34,11 +33,6 @@
         return START + (ticker.nanoTime() - ticker.initialNanoTime()) / 1e6;
     }
 
-    /** Tasks that have run. */
-    long tasks() {
-        return tasks;
-    }
-
     /**
      * Runs all that is due until this time, ms after {@link #START}.
      *
@@ -49,7 +43,6 @@
         while (true) {
             long moment = 0;
             for (int ran = runNow(); ran > 0; ran = runNow()) {
-                tasks += ran;
                 moment += ran;
                 if (moment > ENDLESS) {
                     throw new IllegalStateException("time stands still at " + now());
--- a/src/main/java/willowyoke/kit/World.java
+++ b/src/main/java/willowyoke/kit/World.java
@@ -53,6 +53,7 @@
            {"name":"ampliado","per_second":80,"depth":160,"price":1}]}}""";
 
     private final LoopThread loop;
+    private final LoopThread nodeLoop;
     private final List<EnrolmentServer> servers = new ArrayList<>();
     private final Agent discovery;
     private final Counter counter;
@@ -67,6 +68,7 @@
     public World(int port, int size, long seed, Effects effects, Counter.Calls calls, Consumer<String> log)
         throws IOException {
         loop = new LoopThread(Transport.loop(), Transport.SOCKETS, Clock.system(), log);
+        nodeLoop = new LoopThread(Transport.loop(), Transport.SOCKETS, Clock.system(), log);
         discovery = new Agent(0);
         try {
             InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
@@ -79,8 +81,7 @@
             counter = new Counter(loop, Counter.Size.USUAL, calls).start(any);
             String at = counter.address().getAddress().getHostAddress() + ":" + counter.address().getPort();
             Config config = Config.of(Json.read(CONFIG.formatted(port, discovery.address(), at, seed)), Map.of());
-            node = new Node(config, Decide::new, null,
-                new LoopThread(Transport.loop(), Transport.SOCKETS, Clock.system(), log));
+            node = new Node(config, Decide::new, null, nodeLoop);
             node.start();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -124,6 +125,7 @@
 
     private void end() throws IOException {
         discovery.close();
+        nodeLoop.group().shutdownGracefully(0, LEAVE_WITHIN, TimeUnit.MILLISECONDS).awaitUninterruptibly(LEAVE_WITHIN);
         loop.group().shutdownGracefully(0, LEAVE_WITHIN, TimeUnit.MILLISECONDS).awaitUninterruptibly(LEAVE_WITHIN);
     }
 }
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -185,33 +185,35 @@
         CompletableFuture<Void> up = new CompletableFuture<>();
         loop.group().execute(() -> {
             try {
-                module = maker.start(config.settings(), config.seed(), loop.now(), this);
-            } catch (RuntimeException e) {
+                come(up, part);
+            } catch (RuntimeException | Error e) { // nobody would wait for it to the end
                 up.completeExceptionally(e);
-                return;
             }
-            discovery.start(config.known() == null ? null : MembersJson.of(config.known(), loop::say));
-            counter.start();
-            servers.start();
-            clients.start();
-            part.accept("loop and module");
-            discovery.ready().thenRun(() -> part.accept("discovery"));
-            servers.ready().thenRun(() -> part.accept("servers"));
-            counter.ready().thenRun(() -> part.accept("counter"));
-            CompletableFuture<Void> ready = CompletableFuture.allOf(discovery.ready(), servers.ready(),
-                counter.ready());
-            ready.thenRun(() -> listen(up));
-            loop.after(READY_WITHIN, () -> {
-                if (!ready.isDone()) {
-                    System.err.println("ready with what there is: discovery " + discovery.ready().isDone()
-                        + ", servers " + servers.ready().isDone() + ", counter " + counter.ready().isDone());
-                    listen(up);
-                }
-            });
         });
         return up;
     }
 
+    private void come(CompletableFuture<Void> up, Consumer<String> part) {
+        module = maker.start(config.settings(), config.seed(), loop.now(), this);
+        discovery.start(config.known() == null ? null : MembersJson.of(config.known(), loop::say));
+        counter.start();
+        servers.start();
+        clients.start();
+        part.accept("loop and module");
+        discovery.ready().thenRun(() -> part.accept("discovery"));
+        servers.ready().thenRun(() -> part.accept("servers"));
+        counter.ready().thenRun(() -> part.accept("counter"));
+        Future<?> late = loop.after(READY_WITHIN, () -> {
+            loop.say("ready with what there is: discovery " + discovery.ready().isDone() + ", servers "
+                + servers.ready().isDone() + ", counter " + counter.ready().isDone());
+            listen(up);
+        });
+        CompletableFuture.allOf(discovery.ready(), servers.ready(), counter.ready()).thenRun(() -> {
+            late.cancel(false);
+            listen(up);
+        });
+    }
+
     private void listen(CompletableFuture<Void> up) {
         if (listening) {
             return; // it was ready after all, a moment too late
--- a/src/main/java/willowyoke/standin/Counter.java
+++ b/src/main/java/willowyoke/standin/Counter.java
@@ -83,8 +83,6 @@
     private Mood mood = Mood.WELL;
     private double freeAt;
     private boolean turning;
-    private long made;
-    private long turnedAway;
 
     public Counter(Loop loop, Size size, Calls calls) {
         this.loop = loop;
@@ -111,15 +109,6 @@
         return address;
     }
 
-    /** Calls that have had their turn. */
-    public long made() {
-        return made;
-    }
-
-    public long turnedAway() {
-        return turnedAway;
-    }
-
     // ---- faults ----
 
     public void mood(Mood now) {
@@ -175,7 +164,6 @@
     }
 
     private RedisMessage add(List<String> words) {
-        made++;
         String name = words.get(1);
         double amount = Double.parseDouble(words.get(2));
         long life = Math.min(LONGEST_LIFE, Long.parseLong(words.get(3)));
@@ -270,7 +258,6 @@
                     if (!wellFormed(words)) {
                         call.answer(new ErrorRedisMessage("ERR no such call"));
                     } else if (mood == Mood.FULL || queue.size() >= size.queue) {
-                        turnedAway++;
                         call.answer(new ErrorRedisMessage("BUSY"));
                     } else {
                         queue.add(new Turn(call, words));
--- a/src/main/java/willowyoke/standin/EnrolmentServer.java
+++ b/src/main/java/willowyoke/standin/EnrolmentServer.java
@@ -133,14 +133,6 @@
         return rack;
     }
 
-    public int running() {
-        return capacity.running();
-    }
-
-    public int waiting() {
-        return capacity.waiting();
-    }
-
     // ---- faults ----
 
     public void mood(Mood now) {
@@ -183,11 +175,6 @@
         });
     }
 
-    /** For good, with nothing left open. */
-    public void close() {
-        die();
-    }
-
     // ---- work ----
 
     private void sweep() {
--- a/src/test/java/willowyoke/node/NodeTest.java
+++ b/src/test/java/willowyoke/node/NodeTest.java
@@ -20,9 +20,21 @@
 import willowyoke.loop.LoopThread;
 import willowyoke.loop.Transport;
 import willowyoke.net.client.ClientListener;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
 
 /** Calls through the edge node: order, outcomes, lists, counter, its end. */
 class NodeTest extends NodeFixture {
+    /** What the module throws at its start ends the start, and does not leave it waiting. */
+    @Test void aModuleThatFailsAtItsStartFailsTheStart() throws Exception {
+        Node failing = new Node(Config.of(Json.read(config()), java.util.Map.of()), (settings, seed, now, actions) -> {
+            throw new LinkageError("on purpose");
+        });
+        IOException told = assertThrows(IOException.class, failing::start);
+        assertTrue(told.getMessage().contains("on purpose"), told.getMessage());
+        failing.loop().group().shutdownGracefully();
+    }
+
     @Test void aCallGoesOnUnchangedButForTheTimeLeftAndItsValueComesBack() throws Exception {
         start();
         Peer.Line client = client();
