--- a/src/main/java/willowyoke/kit/Simulation.java
+++ b/src/main/java/willowyoke/kit/Simulation.java
@@ -45,10 +45,10 @@
     private double elapsed;
 
     /**
-     * @param config of the node at a place; {@code log} hears the nodes' lines
+     * @param log hears the nodes' lines
      * @throws IOException where a configuration cannot be read
      */
-    Simulation(long seed, int nodeCount, int serverCount, Capacity.Size size, String config, Consumer<String> log)
+    Simulation(long seed, int nodeCount, int serverCount, Capacity.Size size, Consumer<String> log)
         throws IOException, InterruptedException {
         shared = new LoopThread(loop, transport, loop, log);
         discovery = new Discovery(shared, 0, trace).start(address(1, 1));
@@ -61,7 +61,7 @@
             discovery.set(server.entry("active"));
         }
         for (int i = 0; i < nodeCount; i++) {
-            Config told = Config.of(Json.read(config.formatted("n" + i, text(address(3, i)), text(address(1, 1)),
+            Config told = Config.of(Json.read(World.CONFIG.formatted("n" + i, text(address(3, i)), text(address(1, 1)),
                 text(address(1, 2)), seed + i, i, nodeCount)), Map.of());
             Node node = new Node(told, Decide::new, null, new LoopThread(loop, transport, loop, log));
             nodes.add(node);
--- a/src/main/java/willowyoke/kit/World.java
+++ b/src/main/java/willowyoke/kit/World.java
@@ -37,10 +37,11 @@
     private static final double WINDOW = 7500;
     private static final Capacity.Size SERVER = new Capacity.Size(2, 16, 32, 8, 0.3, 5000);
     private static final long LEAVE_WITHIN = 2000;
-    private static final String CONFIG = """
-        {"name":"try","listen":"127.0.0.1:%d","discovery":"%s","counter":"%s","seed":"%x",
+    /** An edge node's configuration: name, three addresses (own, discovery, counter), seed, place, nodes. */
+    static final String CONFIG = """
+        {"name":"%s","listen":"%s","discovery":"%s","counter":"%s","seed":"%x",
          "limits":{"sockets":1024},
-         "settings":{"rank":0,"group_size":1,"tick":4,"feedback":{"fields":["outstanding","backlog","utilization"]},
+         "settings":{"rank":%d,"group_size":%d,"tick":4,"feedback":{"fields":["outstanding","backlog","utilization"]},
           "limits":{"probing":true,"cancelling":true,"retry_after":true,"send_cap":5,"max_retry_after":2000,
            "keepalive":15000,"connect_timeout":250},
           "family_info":{"shared_counter":true,"most_units":2,"count_limit":80},
@@ -80,7 +81,8 @@
             }
             counter = new Counter(loop, Counter.Size.USUAL, calls).start(any);
             String at = counter.address().getAddress().getHostAddress() + ":" + counter.address().getPort();
-            Config config = Config.of(Json.read(CONFIG.formatted(port, discovery.address(), at, seed)), Map.of());
+            Config config = Config.of(Json.read(CONFIG.formatted("try", "127.0.0.1:" + port,
+                discovery.address(), at, seed, 0, 1)), Map.of());
             node = new Node(config, Decide::new, null, nodeLoop);
             node.start();
         } catch (InterruptedException e) {
--- a/src/test/java/willowyoke/kit/SimulationTest.java
+++ b/src/test/java/willowyoke/kit/SimulationTest.java
@@ -18,23 +18,9 @@
 /** Edge nodes and their world in virtual time: the same seed gives the same day, to the byte. */
 @Timeout(120)
 class SimulationTest {
-    private static final String CONFIG = """
-        {"name":"%s","listen":"%s","discovery":"%s","counter":"%s","seed":"%x","limits":{"sockets":1024},
-         "settings":{"rank":%d,"group_size":%d,"tick":4,"feedback":{"fields":["outstanding","backlog","utilization"]},
-          "limits":{"probing":true,"cancelling":true,"retry_after":true,"send_cap":5,"max_retry_after":2000,
-           "keepalive":15000,"connect_timeout":250},
-          "family_info":{"shared_counter":true,"most_units":2,"count_limit":80},
-          "contract":{"drain_grace":250,"cold_share":0.2,"warm_after":5000,"overload_factor":3,"overload_for":2000},
-          "request_classes":[{"name":"seat-lookup","effect":"read_like","aim":300,"hard_limit":900,"worth":1},
-           {"name":"enrol","effect":"idempotency_key","group":"cell","aim":600,"hard_limit":1500,"worth":2,
-            "repeat_window":7500}],
-          "tariffs":[{"name":"basico","per_second":5,"depth":10,"price":1},
-           {"name":"estandar","per_second":20,"depth":40,"price":1},
-           {"name":"ampliado","per_second":80,"depth":160,"price":1}]}}""";
-
     /** A window opens, a server dies at the peak and returns cold, another drains: 12 s. */
     private static Simulation day(long seed) throws Exception {
-        Simulation day = new Simulation(seed, 2, 4, new Capacity.Size(2, 16, 32, 8, 0.3, 5000), CONFIG, line -> { });
+        Simulation day = new Simulation(seed, 2, 4, new Capacity.Size(2, 16, 32, 8, 0.3, 5000), line -> { });
         for (int node = 0; node < 2; node++) {
             day.ask(node, new Arrivals(seed + node, World.CAMPUSES, World.KINDS, ms -> ms < 3000 ? 10 : 100, 100),
                 CampusClients.Habits.USUAL, seed + node);
