Halves of commands pass through a drain; who goes in a crowd is known by one clock

A drain ended connections on which half a command had come, at the ends and at the cut; long values whose turn had not come were read ahead at their servers; an answer of 405 named the method by the path instead of by the call; each whole command of a client made an object in Places.

--- a/src/main/java/willowyoke/admin/AdminListener.java
+++ b/src/main/java/willowyoke/admin/AdminListener.java
@@ -100,6 +100,8 @@
         private HttpRequest head;
         private long body;
         private boolean answered;
+        /** The method that this call has, where it was made with another. */
+        private HttpMethod allow;
 
         @Override protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (answered) {
@@ -161,6 +163,7 @@
             if (head.method().equals(method)) {
                 call.run();
             } else {
+                allow = method;
                 answer(ctx, HttpResponseStatus.METHOD_NOT_ALLOWED, error("this call is a " + method));
             }
         }
@@ -178,9 +181,8 @@
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            if (status.equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
-                response.headers().set(HttpHeaderNames.ALLOW,
-                    head.uri().startsWith("/api/evacuate") || head.uri().startsWith("/api/rejoin") ? "PUT" : "GET");
+            if (allow != null) {
+                response.headers().set(HttpHeaderNames.ALLOW, allow.name());
             }
             callers.remove(ctx.channel()); // it has been served: no stalled caller, and soon gone
             ctx.writeAndFlush(response).addListener((ChannelFutureListener) f -> {
--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -140,11 +140,15 @@
         listener.config().setAutoRead(open.size() < most + Math.max(1, most / 16));
     }
 
-    /** Ends the connections that are between requests, and from now on each after its last answer. */
-    public void close() {
+    /**
+     * Ends the connections that are between requests, and from now on each after its last answer.
+     *
+     * @param halves also those within a command that has not come whole; else these may finish it
+     */
+    public void close(boolean halves) {
         closing = true;
         for (Connection c : open.toArray(new Connection[0])) {
-            if (c.slots.isEmpty()) {
+            if (c.slots.isEmpty() && (halves || c.raw.pending() == 0)) {
                 c.finish();
             }
         }
@@ -155,7 +159,7 @@
         welcome = yes;
     }
 
-    /** Connections with requests open bring no further ones; what they have sent and was not read is not taken. */
+    /** Connections with requests open bring no further ones; the others may finish the one that they are within. */
     public void cut() {
         cut = true;
         for (Connection c : open) {
@@ -163,7 +167,7 @@
         }
     }
 
-    /** Takes back {@link #close()} and {@link #cut()}; connections that have been ended stay so. */
+    /** Takes back {@link #close} and {@link #cut()}; connections that have been ended stay so. */
     public void reopen() {
         closing = false;
         cut = false;
@@ -235,7 +239,9 @@
             flow = from;
             head = "$" + length + "\r\n";
             early = new ArrayDeque<>(2);
-            from.flow(false);
+            if (connection.slots.peek() != this) {
+                from.flow(false);
+            }
             connection.drain();
         }
 
@@ -268,7 +274,6 @@
             answer = message;
             connection.drain();
         }
-
     }
 
     private final class Connection extends ChannelInboundHandlerAdapter {
@@ -280,8 +285,6 @@
         private double silentFrom = bornAt;
         /** A whole command has come. */
         private boolean asked;
-        /** Since when no answer is owed. */
-        private double idleFrom = bornAt;
         private boolean deaf;
         private boolean broken;
         private boolean finished;
@@ -331,7 +334,7 @@
 
         /** Reading stops while too much is unanswered, unread by the client, or held by all. */
         private void hold() {
-            boolean read = deaf && !broken || !deaf && !cut
+            boolean read = deaf && !broken || !deaf && !(cut && !slots.isEmpty())
                 && slots.size() < PIPELINED && channel.isWritable() && !requests.full();
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
@@ -351,8 +354,7 @@
                 if (closing || deaf) {
                     finish();
                 } else if (asked) {
-                    idleFrom = loop.now();
-                    places.answered(this, idleFrom);
+                    places.answered(this, loop.now());
                 }
             }
             if (!channel.config().isAutoRead()) {
@@ -399,10 +401,9 @@
          * one that may not have must not be reset.
          */
         private void evict() {
-            places.left(this);
+            boolean read = loop.now() - places.left(this) > LINGER;
             ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-            if (slots.isEmpty() && out != null && out.totalPendingWriteBytes() == 0
-                && loop.now() - idleFrom > LINGER) {
+            if (read && out != null && out.totalPendingWriteBytes() == 0) {
                 deaf = true;
                 channel.close();
             } else {
--- a/src/main/java/willowyoke/net/client/Places.java
+++ b/src/main/java/willowyoke/net/client/Places.java
@@ -1,8 +1,7 @@
 package willowyoke.net.client;
 
-import java.util.Collection;
+import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -29,9 +28,12 @@
 
     private enum Kind { SILENT, HALF, IDLE, BUSY }
 
-    private record Place(Kind kind, double since) { }
+    private static final class Place {
+        private Kind kind = Kind.BUSY;
+        private double since;
+    }
 
-    private final Map<C, Place> places = new LinkedHashMap<>();
+    private final Map<C, Place> places = new HashMap<>();
     /** By kind, the one that has been so for longest first. */
     private final Set<C> silent = new LinkedHashSet<>();
     private final Set<C> half = new LinkedHashSet<>();
@@ -46,11 +48,12 @@
         };
     }
 
-    private void put(C c, Kind kind, double now) {
-        Place was = places.put(c, new Place(kind, now));
-        if (was != null && was.kind != Kind.BUSY) {
-            of(was.kind).remove(c);
+    private void put(C c, Place place, Kind kind, double now) {
+        if (place.kind != Kind.BUSY) {
+            of(place.kind).remove(c);
         }
+        place.kind = kind;
+        place.since = now;
         if (kind != Kind.BUSY) {
             of(kind).add(c);
         }
@@ -58,46 +61,47 @@
 
     /** A new connection, which has said nothing yet. */
     void entered(C c, double now) {
-        put(c, Kind.SILENT, now);
+        Place place = new Place();
+        places.put(c, place);
+        put(c, place, Kind.SILENT, now);
     }
 
     /** Bytes have come that are no whole command. Nothing changes for one that waits for an answer. */
     void bytes(C c, double now) {
         Place place = places.get(c);
         if (place != null && place.kind != Kind.BUSY) {
-            put(c, Kind.HALF, now);
+            put(c, place, Kind.HALF, now);
         }
     }
 
     /** A whole command has come, or more of them: an answer is owed. */
     void owed(C c, double now) {
-        if (places.containsKey(c)) {
-            put(c, Kind.BUSY, now);
+        Place place = places.get(c);
+        if (place != null) {
+            put(c, place, Kind.BUSY, now);
         }
     }
 
     /** All that was owed is written. */
     void answered(C c, double now) {
-        if (places.containsKey(c)) {
-            put(c, Kind.IDLE, now);
+        Place place = places.get(c);
+        if (place != null) {
+            put(c, place, Kind.IDLE, now);
         }
     }
 
-    /** It is gone, or on its way out. */
-    void left(C c) {
-        Place was = places.remove(c);
-        if (was != null && was.kind != Kind.BUSY) {
-            of(was.kind).remove(c);
+    /**
+     * It is gone, or on its way out.
+     *
+     * @return since when it was what it was (ms), or infinity where it is not here any more
+     */
+    double left(C c) {
+        Place place = places.remove(c);
+        if (place == null) {
+            return Double.POSITIVE_INFINITY;
         }
-    }
-
-    /** All that are there. */
-    Collection<C> all() {
-        return places.keySet();
-    }
-
-    int size() {
-        return places.size();
+        put(c, place, Kind.BUSY, place.since); // in no order any more
+        return place.since;
     }
 
     /** The one that is to go so that another may come, or null where each waits for an answer or is new. */
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -327,10 +327,7 @@
             throw new IOException("operators' address: " + bound.cause().getMessage(), bound.cause());
         }
         adminAddress = bound.channel().localAddress();
-        loop.group().execute(() -> {
-            admin = listener;
-            loop.after(AUDIT, this::audits);
-        });
+        loop.group().execute(() -> admin = listener);
     }
 
     private void come(CompletableFuture<Void> up, Consumer<String> part) {
@@ -363,6 +360,9 @@
             if (f.isSuccess()) {
                 address = f.channel().localAddress();
                 ready = true;
+                if (admin != null) { // before, there is nothing to count
+                    loop.after(AUDIT, this::audits);
+                }
                 up.complete(null);
             } else {
                 up.completeExceptionally(f.cause());
@@ -425,7 +425,7 @@
         if (next != phase) {
             phase = next;
             switch (next) {
-                case ENDING -> clients.close();
+                case ENDING -> clients.close(drain.forGood());
                 case CUT -> clients.cut();
                 case OPEN -> clients.reopen();
                 default -> { }
--- a/src/test/java/willowyoke/node/Calls.java
+++ b/src/test/java/willowyoke/node/Calls.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketAddress;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashMap;
@@ -48,6 +50,17 @@
         return raw(at, what + " HTTP/1.1\r\nHost: x\r\n\r\n");
     }
 
+    /** Whether the other side has ended this connection, which it may take a while to do. */
+    static boolean ended(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().read() < 0;
+        } catch (SocketTimeoutException stays) {
+            return false;
+        } catch (SocketException reset) {
+            return true;
+        }
+    }
+
     /** Writes it and reads to the end of the connection. */
     static Answer raw(SocketAddress at, String text) throws IOException {
         try (Socket socket = to(at)) {
--- a/src/test/java/willowyoke/node/LongValueTest.java
+++ b/src/test/java/willowyoke/node/LongValueTest.java
@@ -131,6 +131,31 @@
         figure("/requests/read/served", Integer.toString(many));
     }
 
+    /** Behind an answer that is not there yet, long values stay at their servers. */
+    @Test void whatIsKeptOfValuesWhoseTurnHasNotComeIsBounded() throws Exception {
+        start();
+        Peer.Line client = client();
+        get(client, "first", "read", 20_000);
+        assertEquals("first", server.message().get(2));
+        int many = 20;
+        byte[] value = value(MOST, 5);
+        long before = direct();
+        for (int i = 0; i < many; i++) {
+            get(client, "c" + i, "read", 20_000);
+            Peer.Line at = app.accept();
+            at.message();
+            answer(at, value, 256 << 10, "$-1\r\n$-1\r\n");
+        }
+        Thread.sleep(1000); // what may come has come
+        long kept = direct() - before;
+        assertTrue(kept < many * (400L << 10), kept + " bytes of " + many * (long) MOST);
+        server.value("first");
+        assertEquals(List.of("first"), client.message());
+        for (int i = 0; i < many; i++) {
+            assertTrue(Arrays.equals(value, bulk(client)));
+        }
+    }
+
     private static long direct() {
         return ((ByteBufAllocatorMetricProvider) ByteBufAllocator.DEFAULT).metric().usedDirectMemory();
     }
--- a/src/test/java/willowyoke/node/OperationsTest.java
+++ b/src/test/java/willowyoke/node/OperationsTest.java
@@ -13,6 +13,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import willowyoke.config.Config;
@@ -92,6 +94,7 @@
             Socket last = stalled.get(99);
             last.getOutputStream().write("ady HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
             assertEquals(200, Calls.read(last).status());
+            assertTrue(Calls.ended(stalled.get(0)), "the oldest keeps its place");
         } finally {
             for (Socket socket : stalled) {
                 socket.close();
@@ -99,6 +102,37 @@
         }
     }
 
+    /**
+     * A queue of 64 was filled by a burst of callers while the loop was busy: the next one's connect was lost, and came
+     * again after a second, which is all the time an answer has.
+     */
+    @Test void aBurstOfCallersFindsRoomInTheQueue() throws Exception {
+        start();
+        CountDownLatch busy = new CountDownLatch(1);
+        node.loop().later(() -> {
+            try {
+                busy.await(10, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Socket> callers = new ArrayList<>();
+        try {
+            for (int i = 0; i < 200; i++) {
+                Socket caller = new Socket();
+                callers.add(caller);
+                caller.connect(node.adminAddress(), 900); // or a timeout: the queue is full
+            }
+            busy.countDown();
+            assertEquals(200, call("GET /api/ready").status());
+        } finally {
+            busy.countDown();
+            for (Socket caller : callers) {
+                caller.close();
+            }
+        }
+    }
+
     @Test void eachRequestIsCountedOnceByWhatBecameOfIt() throws Exception {
         start();
         Peer.Line client = client();
@@ -180,6 +214,24 @@
         assertEquals(List.of("+PONG"), again.message());
     }
 
+    /** What a client has begun to send it may finish, through the ends and the cut: only then its connection ends. */
+    @Test void aCommandHalfSentIsTakenThroughADrain() throws Exception {
+        start();
+        Peer.Line slow = client();
+        slow.socket.setTcpNoDelay(true);
+        String call = "*4\r\n$8\r\nCALL.GET\r\n$16\r\n" + CUSTOMER + "\r\n$2\r\n01\r\n$19\r\nc=refuse,t=p,d=1500\r\n";
+        slow.write(call.substring(0, 20));
+        Peer.Line other = client();
+        other.command("PING"); // the half before it has been read
+        assertEquals(List.of("+PONG"), other.message());
+        call("PUT /api/evacuate");
+        Thread.sleep((long) Drain.CUT_AFTER + 150); // the time itself is what is tested; a head may take 2 s
+        slow.write(call.substring(20));
+        assertEquals(List.of("-BUSY 1500"), slow.message());
+        assertTrue(slow.ended());
+        assertTrue(other.ended());
+    }
+
     /** Behind a request that is open, a connection brings no more after the cut; taken back, what waits is read. */
     @Test void aDrainThatIsTakenBackAfterTheCutReadsOn() throws Exception {
         start();
