--- a/src/main/java/willowyoke/config/TomlReader.java
+++ b/src/main/java/willowyoke/config/TomlReader.java
@@ -200,7 +200,8 @@
     private void faultAt(TomlPosition at, String key, Object found, String allowed, List<String> to) {
         String what = found instanceof TomlTable ? "a table" : found instanceof TomlArray ? "an array"
             : found instanceof String text ? "'" + text + "'" : String.valueOf(found);
-        to.add(file + ":" + (at == null ? "" : at.line() + ":") + " " + prefix + key + ": found " + what + ", allowed is "
+        to.add(file + ":" + (at == null ? "" : at.line() + ":") + " " + prefix + key + ": found " + what
+            + ", allowed is "
             + allowed);
     }
 
--- a/src/main/java/willowyoke/kit/Kit.java
+++ b/src/main/java/willowyoke/kit/Kit.java
@@ -17,7 +17,8 @@
      */
     public static int run(String... args) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        return new CommandLine(args[0].equals("try") ? new TryCommand() : new RehearseCommand()).setParameterExceptionHandler((bad, given) -> {
+        return new CommandLine(args[0].equals("try") ? new TryCommand()
+            : new RehearseCommand()).setParameterExceptionHandler((bad, given) -> {
             System.err.println(args[0] + ": " + bad.getMessage() + "; " + args[0] + " --help tells what there is");
             return 2;
         }).execute(Arrays.copyOfRange(args, 1, args.length));
--- a/src/main/java/willowyoke/kit/Rehearsal.java
+++ b/src/main/java/willowyoke/kit/Rehearsal.java
@@ -72,7 +72,10 @@
         return court.quotas().stream().max((a, b) -> Double.compare(a.worst(), b.worst())).orElse(null);
     }
 
-    /** The smallest scenario that still breaks one of the same rules with this seed: fewer faults, then a shorter day. */
+    /**
+     * The smallest scenario that still breaks one of the same rules with this seed: fewer faults, then a shorter
+     * day.
+     */
     Rehearsal shrink() throws IOException, InterruptedException {
         Rehearsal least = this;
         boolean smaller = true;
--- a/src/main/java/willowyoke/kit/RehearseCommand.java
+++ b/src/main/java/willowyoke/kit/RehearseCommand.java
@@ -64,7 +64,8 @@
     private Integer servers;
     @Option(names = "--report", paramLabel = "DIR", description = "writes report.json and report.html there")
     private Path report;
-    @Option(names = "--shrink", description = "where a rule breaks: looks for fewer faults and a shorter day that break it")
+    @Option(names = "--shrink",
+        description = "where a rule breaks: looks for fewer faults and a shorter day that break it")
     private boolean shrink;
 
     private final PrintStream out = System.out;
@@ -190,7 +191,8 @@
         out.printf(Locale.ROOT, "  tries       %d: %s%n", all, fates);
         Quotas.Figures worst = r.worst();
         if (worst != null) {
-            out.printf(Locale.ROOT, "  quota       worst %s (%s): %.0f units inside, %.0f beyond, %.1f%% of a minute's%n",
+            out.printf(Locale.ROOT,
+                "  quota       worst %s (%s): %.0f units inside, %.0f beyond, %.1f%% of a minute's%n",
                 worst.customer(), worst.plan(), worst.inside(), worst.beyond(), 100 * worst.worst());
         }
         out.printf(Locale.ROOT, "  day         %.1f s in %.2f s, %d events, sha256 %s%n", r.lengthMs() / 1000,
--- a/src/main/java/willowyoke/kit/Report.java
+++ b/src/main/java/willowyoke/kit/Report.java
@@ -341,7 +341,8 @@
     }
 
     private static String escape(String text) {
-        return String.valueOf(text).replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"", "&quot;");
+        return String.valueOf(text).replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"",
+            "&quot;");
     }
 
     private String html() {
--- a/src/main/java/willowyoke/kit/Scenario.java
+++ b/src/main/java/willowyoke/kit/Scenario.java
@@ -6,13 +6,15 @@
 
 /**
  * A day to rehearse: how large the installation is, what its campuses ask over time, and what goes wrong when. The draw
- * (which campuses ask how much, when, of which node, and which server a fault hits where it says "any") comes from a seed.
+ * (which campuses ask how much, when, of which node, and which server a fault hits where it says "any") comes from a
+ * seed.
  *
  * @param lengthMs how long the campuses ask; then all that is open may end
  * @param noticeMs how long the front goes on sending to an edge node that has died
  * @param load requests a second over time: straight lines between these points, steady after the last
  */
-public record Scenario(String name, String title, double lengthMs, int nodes, int servers, Capacity.Size size, int campuses,
+public record Scenario(String name, String title, double lengthMs, int nodes, int servers, Capacity.Size size,
+    int campuses,
     double noticeMs, List<Point> load, List<Fault> faults) {
     /** All that can go wrong; the design note tells each. */
     public enum Kind {
--- a/src/main/java/willowyoke/kit/Scenarios.java
+++ b/src/main/java/willowyoke/kit/Scenarios.java
@@ -15,7 +15,8 @@
 /** Scenarios: those that come with the program, and files of the operators' own in the same form. */
 public final class Scenarios {
     /** What comes with the program, by name, mildest first. */
-    public static final List<String> NAMES = List.of("calm", "window-opening", "cold-return", "roster-lag", "crowd", "shift",
+    public static final List<String> NAMES = List.of("calm", "window-opening", "cold-return", "roster-lag", "crowd",
+        "shift",
         "neighbour", "stalls", "counter-silent", "counter-empty", "rolling-restart", "everything");
 
     private static final double SECOND = 1000;
--- a/src/main/java/willowyoke/kit/Simulation.java
+++ b/src/main/java/willowyoke/kit/Simulation.java
@@ -24,7 +24,8 @@
 import willowyoke.standin.Rack;
 
 /**
- * A scenario's day: edge nodes, their own network code unmodified, and their world on one thread in virtual time. The same
+ * A scenario's day: edge nodes, their own network code unmodified, and their world on one thread in virtual time.
+ * The same
  * seed and the same build give the same events, to the byte. Code takes no time here: what a request costs the node in
  * CPU is not part of it, and neither is the network's way. Belongs to the thread that made it.
  */
@@ -206,7 +207,8 @@
                 trace.ended(shared.now(), of, retry, fate);
             }
 
-            @Override public void asked(double now, String id, Arrivals.Arrival of, CampusClients.Way way, double wait) {
+            @Override public void asked(double now, String id, Arrivals.Arrival of, CampusClients.Way way,
+                double wait) {
                 recorder.asked(now, id, of, way, wait);
             }
 
--- a/src/main/java/willowyoke/kit/World.java
+++ b/src/main/java/willowyoke/kit/World.java
@@ -63,7 +63,8 @@
     /** The settings that these nodes are told. */
     static Gateway.Settings settings(int nodes) {
         try {
-            return Config.of(Json.read(CONFIG.formatted("n0", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 1L, 0, nodes)),
+            return Config.of(Json.read(CONFIG.formatted("n0", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", 1L, 0,
+                nodes)),
                 Map.of()).settings();
         } catch (IOException e) {
             throw new IllegalStateException(e); // it is a text of ours
--- a/src/main/java/willowyoke/kit/judge/AnswersOnce.java
+++ b/src/main/java/willowyoke/kit/judge/AnswersOnce.java
@@ -109,7 +109,8 @@
     private void never(Open r, double at) {
         if (Double.isNaN(r.answeredAt) && !r.excused && !r.closed) {
             r.closed = true;
-            breach(at, r.asked.id(), String.format(Locale.ROOT, "no answer %.0f ms after it was asked, its time was %.0f ms",
+            breach(at, r.asked.id(), String.format(Locale.ROOT,
+                "no answer %.0f ms after it was asked, its time was %.0f ms",
                 at - r.asked.at(), r.asked.patience()));
         }
     }
--- a/src/main/java/willowyoke/kit/judge/Ceilings.java
+++ b/src/main/java/willowyoke/kit/judge/Ceilings.java
@@ -10,7 +10,8 @@
 import willowyoke.Gateway;
 
 /**
- * The fifth rule: a plan's second store, one for a customer over all edge nodes, from which each request takes its units
+ * The fifth rule: a plan's second store, one for a customer over all edge nodes, from which each request takes its
+ * units
  * when it is first sent on, never goes below its slack.
  */
 public final class Ceilings implements Judge {
@@ -40,7 +41,8 @@
                     c -> new Bucket(plan.ceilingRate(), plan.ceilingBurst(), came.at()));
                 store.take(came.at(), a.units());
                 if (store.units(came.at()) < -plan.ceilingSlack() - 1e-9 && broken.add(a.customer())) {
-                    breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT, "customer %s has taken %.2f"
+                    breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT,
+                        "customer %s has taken %.2f"
                         + " units more than its ceiling holds, %.2f are granted", a.customer(),
                         -store.units(came.at()), plan.ceilingSlack())));
                 }
--- a/src/main/java/willowyoke/kit/judge/ColdServers.java
+++ b/src/main/java/willowyoke/kit/judge/ColdServers.java
@@ -8,7 +8,8 @@
 import java.util.Map;
 
 /**
- * The fourth rule, as a budget: within any span of the stated length a cold server gets less work than so many times its
+ * The fourth rule, as a budget: within any span of the stated length a cold server gets less work than so many times
+ * its
  * present capacity could do in it. Work counts by its mean, whether it was taken or turned away, from when the nodes
  * were told of the start. A few requests are granted for chance.
  */
@@ -85,7 +86,8 @@
         double work = (server.sends.size() - CHANCE) * server.born.size().workMs();
         if (work > can) {
             server.broken = true;
-            breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT, "%s got %d requests of %.1f ms within"
+            breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT,
+                "%s got %d requests of %.1f ms within"
                 + " %.0f ms, %.0f ms after its start: %.1f times what it could do", came.server(),
                 server.sends.size(), server.born.size().workMs(), span, age,
                 server.sends.size() * server.born.size().workMs() / (can / terms.rules().overloadFactor()))));
--- a/src/main/java/willowyoke/kit/judge/Drains.java
+++ b/src/main/java/willowyoke/kit/judge/Drains.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 
 /**
- * The third rule: nothing new to a server that is told as leaving or gone, once the grace is over. A send is timed at its
+ * The third rule: nothing new to a server that is told as leaving or gone, once the grace is over. A send is timed
+ * at its
  * last byte here, which is its first one's moment too wherever messages come whole.
  */
 public final class Drains implements Judge {
@@ -33,7 +34,8 @@
         } else if (event instanceof Event.Came came) {
             Event.Told told = away.get(came.server());
             if (told != null && came.at() > told.at() + terms.drainGrace()) {
-                breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT, "%s got it %.0f ms after it was"
+                breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT,
+                    "%s got it %.0f ms after it was"
                     + " told as %s", came.server(), came.at() - told.at(), told.health())));
             }
         }
--- a/src/main/java/willowyoke/kit/judge/EffectsOnce.java
+++ b/src/main/java/willowyoke/kit/judge/EffectsOnce.java
@@ -76,7 +76,8 @@
             boolean dropped = type.effect() == Gateway.Effect.KEYED && (anywhere(type) || first.rack == rack)
                 && came.at() - first.at <= type.window() + Terms.SOCKETS;
             if (type.effect() != Gateway.Effect.SAFE && !dropped) {
-                breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT, "%s may have run it %.0f ms before,"
+                breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT,
+                    "%s may have run it %.0f ms before,"
                     + " and %s got it again%s", first.server, came.at() - first.at, came.server(),
                     first.rack == rack ? "" : " in another rack")));
             }
--- a/src/main/java/willowyoke/kit/judge/Evidence.java
+++ b/src/main/java/willowyoke/kit/judge/Evidence.java
@@ -33,7 +33,8 @@
     @Override public List<Breach> verdict(double at) {
         List<Breach> all = new ArrayList<>();
         if (asked.size() < nodes) {
-            all.add(new Breach(rule(), at, null, "of " + nodes + " edge nodes " + asked.size() + " were asked anything"));
+            all.add(new Breach(rule(), at, null, "of " + nodes + " edge nodes " + asked.size()
+                + " were asked anything"));
         }
         if (sent == 0 || served == 0) {
             all.add(new Breach(rule(), at, null, "nobody was served: a report on no evidence"));
--- a/src/main/java/willowyoke/standin/EnrolmentServer.java
+++ b/src/main/java/willowyoke/standin/EnrolmentServer.java
@@ -126,7 +126,8 @@
 
     /** As a list names it, with this health. */
     public Agent.Host entry(String health) {
-        return new Agent.Host(id, address.getAddress().getHostAddress() + ":" + address.getPort(), health, bornAt, rack.site(),
+        return new Agent.Host(id, address.getAddress().getHostAddress() + ":" + address.getPort(), health, bornAt,
+            rack.site(),
             rack.block());
     }
 
--- a/src/test/java/willowyoke/kit/RehearsalTest.java
+++ b/src/test/java/willowyoke/kit/RehearsalTest.java
@@ -91,7 +91,8 @@
             act.send(request.id(), "s0", 0);
         }
 
-        @Override public void ended(double now, long id, int attempt, Gateway.Outcome outcome, double took, boolean over,
+        @Override public void ended(double now, long id, int attempt, Gateway.Outcome outcome, double took,
+            boolean over,
             int trueUnits, double[] load) {
             if (!over && attempt == 0 && then != null) {
                 act.send(id, then, 0);
@@ -116,7 +117,10 @@
         return day.broken();
     }
 
-    /** All scenarios that come with the program, each with many seeds: the five rules are kept, and somebody is served. */
+    /**
+     * All scenarios that come with the program, each with many seeds: the five rules are kept, and somebody is
+     * served.
+     */
     @Test void theRulesAreKeptOnAllScenarios() throws Exception {
         ExecutorService pool = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
         try {
@@ -254,10 +258,12 @@
 
     @Test void aBreachIsShrunkToWhatItNeeds() throws Exception {
         Node.Maker crooked = (settings, seed, now, act) -> new Decide(settings, seed, now, act);
-        Scenario big = day(BUSY + "[[fault]]\nkind = \"crowd\"\nat_s = 2\nfor_s = 1\n[[fault]]\nkind = \"counter_noise\"\n"
+        Scenario big = day(BUSY
+            + "[[fault]]\nkind = \"crowd\"\nat_s = 2\nfor_s = 1\n[[fault]]\nkind = \"counter_noise\"\n"
             + "at_s = 3\nfor_s = 1\n").withNodes(2);
         Scenario nobody = new Scenario("nobody", "nobody", big.lengthMs(), 2, big.servers(), big.size(), 1, 0,
-            List.of(new Scenario.Point(0, 0), new Scenario.Point(7900, 0), new Scenario.Point(7990, 0.1)), big.faults());
+            List.of(new Scenario.Point(0, 0), new Scenario.Point(7900, 0), new Scenario.Point(7990, 0.1)),
+                big.faults());
         Rehearsal found = Rehearsal.play(nobody, 1, crooked);
         broken(found, "evidence");
         Rehearsal least = found.shrink();
@@ -277,7 +283,8 @@
                 names.add(String.valueOf(p.currentName()));
             }
         }
-        assertTrue(names.containsAll(List.of("schema", "sha256", "seed", "tries", "rules", "quotas", "series", "breaches",
+        assertTrue(names.containsAll(List.of("schema", "sha256", "seed", "tries", "rules", "quotas", "series",
+            "breaches",
             "latency_ms", "units_beyond")), names.toString());
         String html = Files.readString(dir.resolve("report.html"));
         assertTrue(html.contains(day.sha256()) && html.contains("data:image/png;base64,iVBOR"));
