--- a/src/main/java/willowyoke/kit/judge/Ceilings.java
+++ b/src/main/java/willowyoke/kit/judge/Ceilings.java
@@ -11,8 +11,7 @@
 
 /**
  * The fifth rule: a plan's second store, one for a customer over all edge nodes, from which each request takes its
- * units
- * when it is first sent on, never goes below its slack.
+ * units when it is first sent on, never goes below its slack.
  */
 public final class Ceilings implements Judge {
     private final Terms terms;
--- a/src/main/java/willowyoke/kit/judge/ColdServers.java
+++ b/src/main/java/willowyoke/kit/judge/ColdServers.java
@@ -9,9 +9,8 @@
 
 /**
  * The fourth rule, as a budget: within any span of the stated length a cold server gets less work than so many times
- * its
- * present capacity could do in it. Work counts by its mean, whether it was taken or turned away, from when the nodes
- * were told of the start. A few requests are granted for chance.
+ * its present capacity could do in it. Work counts by its mean, whether it was taken or turned away, from when the
+ * nodes were told of the start. A few requests are granted for chance.
  */
 public final class ColdServers implements Judge {
     /** Requests beyond the budget that chance may bring. */
--- a/src/main/java/willowyoke/kit/judge/Drains.java
+++ b/src/main/java/willowyoke/kit/judge/Drains.java
@@ -7,9 +7,8 @@
 import java.util.Map;
 
 /**
- * The third rule: nothing new to a server that is told as leaving or gone, once the grace is over. A send is timed
- * at its
- * last byte here, which is its first one's moment too wherever messages come whole.
+ * The third rule: nothing new to a server that is told as leaving or gone, once the grace is over. A send is timed at
+ * its last byte here, which is its first one's moment too wherever messages come whole.
  */
 public final class Drains implements Judge {
     private final Terms terms;
--- a/src/main/java/willowyoke/kit/judge/Event.java
+++ b/src/main/java/willowyoke/kit/judge/Event.java
@@ -4,8 +4,8 @@
 
 /**
  * What passed on the sockets of the stand-ins, and what was done to the world: all that the judges go by. Nothing
- * here is
- * what an edge node says of itself. Times are ms on the day's clock and never go back from one event to the next.
+ * here is what an edge node says of itself. Times are ms on the day's clock and never go back from one event to the
+ * next.
  */
 public sealed interface Event {
     double at();
--- a/src/main/java/willowyoke/kit/judge/Quotas.java
+++ b/src/main/java/willowyoke/kit/judge/Quotas.java
@@ -12,11 +12,9 @@
 
 /**
  * Quota arithmetic: an exact token bucket for each customer over all edge nodes, fed by what came to app servers.
- * What was
- * sent on while the store did not hold it is beyond the quota. The rule: within any minute no more than 5% of what the
- * quota gives in a minute, and as many units as the nodes may each round by; a day that is shorter counts as its
- * minute.
- * What was refused while the store held it (undershoot) is a figure and breaks nothing.
+ * What was sent on while the store did not hold it is beyond the quota. The rule: within any minute no more than 5%
+ * of what the quota gives in a minute, and as many units as the nodes may each round by; a day that is shorter counts
+ * as its minute. What was refused while the store held it (undershoot) is a figure and breaks nothing.
  */
 public final class Quotas implements Judge {
     /** Beyond the quota within any minute, against what the quota gives in it. */
