--- a/src/test/java/willowyoke/kit/RehearsalTest.java
+++ b/src/test/java/willowyoke/kit/RehearsalTest.java
@@ -257,14 +257,13 @@
     }
 
     @Test void aBreachIsShrunkToWhatItNeeds() throws Exception {
-        Node.Maker crooked = (settings, seed, now, act) -> new Decide(settings, seed, now, act);
         Scenario big = day(BUSY
             + "[[fault]]\nkind = \"crowd\"\nat_s = 2\nfor_s = 1\n[[fault]]\nkind = \"counter_noise\"\n"
             + "at_s = 3\nfor_s = 1\n").withNodes(2);
         Scenario nobody = new Scenario("nobody", "nobody", big.lengthMs(), 2, big.servers(), big.size(), 1, 0,
             List.of(new Scenario.Point(0, 0), new Scenario.Point(7900, 0), new Scenario.Point(7990, 0.1)),
                 big.faults());
-        Rehearsal found = Rehearsal.play(nobody, 1, crooked);
+        Rehearsal found = Rehearsal.play(nobody, 1);
         broken(found, "evidence");
         Rehearsal least = found.shrink();
         assertEquals(List.of(), least.scenario().faults());
--- a/src/test/java/willowyoke/kit/WorldOfStandInsTest.java
+++ b/src/test/java/willowyoke/kit/WorldOfStandInsTest.java
@@ -70,7 +70,7 @@
             }
         }).bind(process.transport().at(at(3)));
         loop.runUntil(1);
-        Channel client = connect(shared);
+        Channel client = connect(shared, 3);
         assertTrue(client.isActive());
         process.after(50, ran::incrementAndGet);
         process.after(150, ran::incrementAndGet);
@@ -83,13 +83,18 @@
         assertEquals(0, spoke.get(), "it saw its own end");
         assertEquals(List.of(), log);
         assertFalse(client.isActive(), "its peer sees the end");
-        assertFalse(connect(shared).isActive(), "nobody listens");
-        assertFalse(connect(process).isActive(), "it connects to nobody");
+        assertFalse(connect(shared, 3).isActive(), "nobody listens");
+        shared.transport().accepting(shared.group(), 8).childHandler(new ChannelInitializer<Channel>() {
+            @Override protected void initChannel(Channel channel) { }
+        }).bind(transport.at(at(4)));
+        loop.runUntil(301);
+        assertTrue(connect(shared, 4).isActive());
+        assertFalse(connect(process, 4).isActive(), "it connects to nobody");
     }
 
-    private Channel connect(willowyoke.loop.Loop from) {
+    private Channel connect(willowyoke.loop.Loop from, int host) {
         Channel channel = from.transport().connecting(from.group(), 1000).handler(new ChannelInboundHandlerAdapter())
-            .connect(from.transport().at(at(3))).channel();
+            .connect(from.transport().at(at(host))).channel();
         loop.runUntil((loop.now() - VirtualLoop.START) + 1);
         return channel;
     }
