A start that knows a list waits a quarter second for discovery, not four seconds

Discovery is overbooked when a fleet starts at once, and its agent is silent until it has been served; READY_WITHIN bounded all parts of a start alike (Node.come). Ruled out: CPU of the start (0.86 s in all, 2.3 s of the wall time at 0.3 of a core), connects (servers ready in 0.6 s). Change: where a list is known, discovery is waited for 250 ms at most; without one all is as before. FleetStartTest fails without it (4,000 ms).

--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -57,6 +57,11 @@
     private static final double LAST_WORD = 8;
     /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
     private static final double READY_WITHIN = 4000;
+    /**
+     * Discovery itself is waited for no longer than this (ms) where a list was known at the start: its agent answers at
+     * once or, as when a whole fleet starts together and asks more than discovery can serve, not for seconds.
+     */
+    private static final double TOLD_WITHIN = 250;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long LISTEN_ON = 600;
     /** Operators' calls that are held at once, where descriptors allow it. */
@@ -345,12 +350,22 @@
                 + servers.ready().isDone() + ", counter " + counter.ready().isDone());
             listen(up);
         });
-        CompletableFuture.allOf(discovery.ready(), servers.ready(), counter.ready()).thenRun(() -> {
+        CompletableFuture<Void> told = discovery.ready();
+        if (discovery.figures().up() > 0) {
+            told = told.applyToEither(elapsed(TOLD_WITHIN), done -> done);
+        }
+        CompletableFuture.allOf(told, servers.ready(), counter.ready()).thenRun(() -> {
             late.cancel(false);
             listen(up);
         });
     }
 
+    private CompletableFuture<Void> elapsed(double ms) {
+        CompletableFuture<Void> then = new CompletableFuture<>();
+        loop.after(ms, () -> then.complete(null));
+        return then;
+    }
+
     private void listen(CompletableFuture<Void> up) {
         if (listening) {
             return; // it was ready after all, a moment too late
--- /dev/null
+++ b/src/test/java/willowyoke/kit/FleetStartTest.java
@@ -0,0 +1,62 @@
+package willowyoke.kit;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowyoke.Decide;
+import willowyoke.config.Config;
+import willowyoke.config.Json;
+import willowyoke.loop.LoopThread;
+import willowyoke.node.Node;
+import willowyoke.standin.Capacity;
+import willowyoke.standin.Counter;
+import willowyoke.standin.Discovery;
+import willowyoke.standin.Effects;
+import willowyoke.standin.EnrolmentServer;
+import willowyoke.standin.Rack;
+
+/** A whole fleet that starts at one moment asks more of discovery than it can serve: a node must not wait for it. */
+@Timeout(60)
+class FleetStartTest {
+    /** Ms from the start of the node's own code until it listens, with discovery silent; code takes no time here. */
+    private static double up(boolean known, List<String> log) throws Exception {
+        VirtualLoop loop = new VirtualLoop();
+        LocalTransport transport = new LocalTransport("start" + known);
+        LoopThread world = new LoopThread(loop, transport, loop, log::add);
+        Discovery discovery = new Discovery(world, 0, (now, host) -> { }).start(new InetSocketAddress("10.1.0.1", 7000));
+        new Counter(world, Counter.Size.USUAL, new Trace()).start(new InetSocketAddress("10.1.0.2", 7000));
+        EnrolmentServer server = new EnrolmentServer(world, "s0", new Rack("a", 0, 7500),
+            new Capacity.Size(2, 16, 32, 8, 0.3, 5000), EnrolmentServer.Habits.USUAL, new Effects() { }, 1)
+            .start(new InetSocketAddress("10.2.0.1", 7000));
+        discovery.set(server.entry("active"));
+        discovery.silent(true);
+        String list = known ? "{\"seq\":1,\"whole\":true,\"hosts\":[" + server.entry("active").json() + "]}" : "null";
+        String told = World.CONFIG.formatted("n0", "10.3.0.1:7000", "10.1.0.1:7000", "10.1.0.2:7000", 1L, 0, 14);
+        Config config = Config.of(Json.read(told.replaceFirst("\\{", "{\"known\":" + list + ",")), Map.of());
+        Node node = new Node(config, Decide::new, null, new ProcessLoop(loop, transport, log::add));
+        CompletableFuture<Void> up = node.begin(part -> { });
+        double at = 0;
+        while (!up.isDone() && at < 10_000) {
+            at += 10;
+            loop.runUntil(at);
+        }
+        return at;
+    }
+
+    @Test void aNodeThatKnowsAListServesFromItWhileDiscoveryIsSilent() throws Exception {
+        List<String> log = new ArrayList<>();
+        double ms = up(true, log);
+        assertTrue(ms <= 300, "listens after " + ms + " ms: " + log);
+    }
+
+    @Test void aNodeThatKnowsNothingWaitsForDiscovery() throws Exception {
+        double ms = up(false, new ArrayList<>());
+        assertTrue(ms >= 3990 && ms < 10_000, "listens after " + ms + " ms");
+    }
+}
