Scarce counter calls go to short stores; what is out follows what listed servers bear

Cold servers were given their part of the mean over all servers, which falls with them (coldBudget). Change: the first calls are half as many, and two subperiods' worth are saved up, not four; the last calls of an edge are left to stores that may be short; a claim waits until four times this gateway's part may have come; belief leaves a quarter of the store and grows by what the last readings left; due parts come a tenth of a unit later; a held request waits for the counter's answer; attempts out are bounded by a window that moves with the servers' capacity as listed, lost ones leave it; cold servers get their part of what warm ones bear.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -29,8 +29,19 @@
     private static final double LIMIT_LEAST = 1.0 / 8;
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
-    /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
-    private static final double CALLS = SUBPERIOD;
+    /**
+     * Calls of all gateways for an edge, at first: one in two milliseconds; then by what is turned away. Twice as many,
+     * and four edges' worth at once, made a fifth of a large fleet's calls late at its start, and those add all the same.
+     */
+    private static final double CALLS = SUBPERIOD / 2;
+    /** Edges' worth of calls that may be saved up: all gateways may use theirs in one moment. */
+    private static final double SAVED = 2;
+    /** A part of the rate falls due by so many units later: what is sent a moment early is beyond the quota. */
+    private static final double DUE_LATE = 0.1;
+    /** Belief leaves this part of the store for what others send unseen. */
+    private static final double UNSEEN = 0.25;
+    /** A claim is worth its call once so many times this gateway's part of the rate since the last covers it. */
+    private static final double PARTS = 4;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
     private static final int MISSES = 8;
     /** Open counts get a new name this often (ms): what a killed node held is forgotten by then. */
@@ -54,9 +65,10 @@
     private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
-    private double armed = Double.MAX_VALUE, sendRate, meanAim, longestAim, sentInPeriod;
-    private double counterSilentUntil, usuallyInside = 1, silentSince;
-    private int misses, up;
+    private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentInPeriod;
+    private double counterSilentUntil, usuallyInside = 1, usualRoom = 1, silentSince;
+    private int misses, up, outAll;
+    private double window = 1, capacity;
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
@@ -84,12 +96,12 @@
             new TreeSet<>(Comparator.<Req>comparingDouble(r -> r.useful).thenComparingLong(r -> r.serial));
         final ArrayDeque<Long> slots = new ArrayDeque<>();
         final ArrayDeque<double[]> due = new ArrayDeque<>(); // when, units: parts that the rate fills later
-        double share, credits, accruedAt, dueUnits, held, arrived, usual;
+        double room, share, credits, accruedAt, dueUnits, held, arrived, usual;
         double level, levelAt, guess, guessAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch;
         int out;
-        boolean asking, inRing;
+        boolean asking, inRing, read;
 
         Customer(String name, Gateway.Plan plan, int spread, double now) {
             this.name = name;
@@ -127,6 +139,7 @@
         final Host host;
         final double sent;
         Gateway.Outcome outcome;
+        boolean lost;
 
         Attempt(Req req, Host host, double sent) {
             this.req = req;
@@ -160,7 +173,7 @@
 
     private record Call(Customer customer, Why why, double amount) { }
 
-    private enum Kind { EDGE, EXPIRE, DEADLINE, LATE, RETRY, SUBSCRIBE }
+    private enum Kind { EDGE, EXPIRE, DEADLINE, LATE, LOST, RETRY, SUBSCRIBE }
 
     private record Timer(double at, long serial, Kind kind, Req req) { }
 
@@ -178,7 +191,7 @@
             plans.put(p.name(), p);
         }
         callLimit = Math.max(1, CALLS / settings.nodes());
-        callsLeft = 4 * callLimit;
+        callsLeft = SAVED * callLimit;
         at(Kind.EDGE, nextEdge(), null);
         if (settings.mustAsk()) {
             act.subscribe();
@@ -212,9 +225,11 @@
         }
         hosts.values().removeIf(h -> h.left && h.out.isEmpty()); // ids are ever new on a long day
         up = (int) hosts.values().stream().filter(h -> h.listed).count();
+        fit();
         if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
             paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
             paceCredit = Math.max(2, paceRate * SUBPERIOD / 1000);
+            window = Math.max(window, 4.0 * up / set.nodes()); // as a server's bound at first
         }
         pump();
     }
@@ -240,6 +255,7 @@
             c = new Customer(told.customer(), plan, told.spread(), now);
             c.credits = alone(c) ? Math.floor(plan.burst() / c.spread) : 0;
             c.inside = usuallyInside;
+            c.room = usualRoom;
             customers.put(told.customer(), c);
         }
         c.seen = now;
@@ -260,7 +276,10 @@
         }
         pump();
         if (c.queue.contains(r)) {
-            at(Kind.EXPIRE, Math.max(now + set.tick(), lastCall(r)), r);
+            // a crowded class's mean may leave no wait at all: the counter's answer is waited for, in time
+            double heard = now + (alone(c) ? 0 : set.allowed().counterTimeout());
+            double last = Math.max(lastCall(r), Math.min(heard, r.deadline - 2 * set.tick()));
+            at(Kind.EXPIRE, Math.max(now + set.tick(), last), r);
         }
     }
 
@@ -285,6 +304,7 @@
         r.out--;
         r.customer.out--;
         a.host.out.remove(a);
+        outAll -= a.lost ? 0 : 1;
         learn(a.host, r.type, outcome, took);
         if (outcome == Gateway.Outcome.OK && trueUnits > 0 && set.settled()) {
             r.customer.uncounted += trueUnits - r.told.units();
@@ -379,18 +399,20 @@
 
     private void onEdge() {
         at(Kind.EDGE, nextEdge(), null);
-        sendRate += (sentInPeriod * 1000 / SUBPERIOD - sendRate) * FAST;
+        long warm = hosts.values().stream().filter(h -> h.listed && warmth(h) >= 1).count();
+        warmRate += warm > 0 ? (sentInPeriod * 1000 / SUBPERIOD / warm - warmRate) * FAST : 0;
         sentInPeriod = 0;
+        fit();
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
         if (callsFailed) {
             callsMost = callLimit > 0.8 * callsMost ? callLimit : 0.99 * callsMost;
-            callLimit = Math.max(CALLS / set.nodes() / 16, callLimit * 0.8); // as TCP: under what failed,
+            callLimit = Math.max(CALLS / set.nodes() / 8, callLimit * 0.8); // as TCP: under what failed,
         } else if (callsLeft < callLimit) {
             callLimit *= callLimit < 0.8 * callsMost ? 1.1 : 1.01; // soon near it again, then slowly past it
         }
         callsFailed = false;
-        callsLeft = Math.min(4 * callLimit, Math.min(callsLeft, 4 * callLimit) + callLimit);
+        callsLeft = Math.min(SAVED * callLimit, Math.min(callsLeft, SAVED * callLimit) + callLimit);
         for (Iterator<Customer> it = active.iterator(); it.hasNext();) {
             Customer c = it.next();
             c.usual += (c.arrived - c.usual) * FAST;
@@ -477,16 +499,21 @@
             call(c, name(c, c.askEpoch), excess, Why.FIX);
         }
         before -= (far ? excess : Math.max(0, excess)) + c.added - c.claimed;
-        double wait = c.queue.isEmpty() ? 0 : lastCall(c.queue.last()) - now;
+        double wait = c.queue.isEmpty() ? 0 : Math.max(0, lastCall(c.queue.last()) - now);
         double part = Math.floor(Math.max(0, Math.min(c.claimed, before + rate * wait)) + 1e-6);
         double ready = Math.floor(Math.max(0, Math.min(part, before)) + 1e-6);
         c.credits += ready;
         for (double k = ready + 1; k <= part; k++) {
-            c.due.add(new double[] {now + (k - before) / rate, 1});
+            double due = now + (k - before + DUE_LATE) / rate;
+            c.due.add(new double[] {due, 1});
             c.dueUnits++;
-            at(Kind.RETRY, now + (k - before) / rate, null);
+            at(Kind.RETRY, due, null);
         }
+        double full = Math.max(0, Math.min(1, before / c.plan.burst()));
+        c.room += (full - c.room) / 2;
+        usualRoom += (full - usualRoom) * SLOW;
         c.level = c.guess = before - part;
+        c.read = true;
         if (c.totalEpoch == c.askEpoch && c.added > 0) { // W over the sum of W since our last reading
             c.share += (c.added / Math.max(c.added, total - c.lastTotal) - c.share) * FAST;
             c.share = Math.max(c.share, 0.1 / c.spread);
@@ -568,27 +595,31 @@
 
     private boolean covered(Customer c, Req r) {
         accrue(c);
-        if (c.plan.rate() > 0 && c.credits < r.told.units()) {
+        if (c.plan.rate() > 0 && c.credits < r.told.units() && !onBelief(c, r)) {
             double weight = Math.ceil(c.held - c.credits - c.dueUnits - 1e-6);
-            // no use to add where the last reading leaves nothing in time
-            double known = c.level + c.plan.rate() / 1000 * (now - c.levelAt + lastCall(r) - now);
+            // no use to add where the last reading leaves nothing in time; most of what has come since is others'
+            double part = Math.min(1, PARTS * Math.max(c.share, 1.0 / c.spread));
+            double known = c.level + c.plan.rate() / 1000 * (lastCall(r) - c.levelAt) * part;
             if (weight > 0 && known >= r.told.units()) {
                 claim(c, weight);
             }
-            if (!onBelief(c, r)) {
-                return false;
-            }
+            return false;
         }
         return underCeiling(c, r) && slot(c);
     }
 
     /**
-     * With no call to be had a request goes by belief, where being right earns more: by the store as last
+     * With no call to spare a request goes by belief, where being right earns more: by the store as last
      * read, less what was sent here since, times what all send for one of ours; and by what was covered then.
      */
     private boolean onBelief(Customer c, Req r) {
-        return !alone(c) && !c.asking && !mayCall() && c.plan.ceilingRate() <= 0 && !r.told.again()
-            && believed(c) && guess(c) >= r.told.units();
+        return !alone(c) && !c.asking && (!mayCall() || spares(c)) && c.plan.ceilingRate() <= 0 && !r.told.again()
+            && believed(c) && guess(c) >= r.told.units() + UNSEEN * c.plan.burst();
+    }
+
+    /** The last calls of an edge are left to customers whose stores may be short; a full one is told of later. */
+    private boolean spares(Customer c) {
+        return c.read && callsLeft < callLimit * guess(c) / c.plan.burst();
     }
 
     /** Sending earns more than it costs, by what the plan tells, and servers are not pressed. */
@@ -597,8 +628,9 @@
         return paceRate >= askRate && c.inside > cost / (1 + cost - Math.min(c.plan.overWorth(), 0.99));
     }
 
+    /** Of the rate since, others use what kept the store from being full at the last readings. */
     private double guess(Customer c) {
-        return Math.min(c.plan.burst(), c.guess + c.plan.rate() / 1000 * (now - c.guessAt));
+        return Math.min(c.plan.burst(), c.guess + c.plan.rate() / 1000 * (now - c.guessAt) * c.room);
     }
 
     // ---- dispatch ----
@@ -646,7 +678,15 @@
             paceWake = now + Math.max(set.tick(), (1 - paceCredit) / paceRate * 1000);
             at(Kind.RETRY, paceWake, null);
         }
-        return paceCredit >= 1;
+        return paceCredit >= 1 && outAll + 1 <= Math.max(2, window); // one and another's retry may always be out
+    }
+
+    /** What may be out follows what servers can bear as soon as that is told: answers of thin traffic tell it late. */
+    private void fit() {
+        double bear = hosts.values().stream().filter(h -> h.listed && now >= h.ejectedUntil)
+            .mapToDouble(this::warmth).sum();
+        window *= bear > 0 && capacity > 0 ? bear / capacity : 1;
+        capacity = bear > 0 ? bear : capacity;
     }
 
     /** A gateway with few answers takes larger steps, so that all are as quick down and up again. */
@@ -655,6 +695,9 @@
         paceRate = late ? paceRate * Math.pow(1 - step, 3) : paceRate + step * askRate;
         double most = edges < 4 ? paceRate : Math.max(1, 2 * askRate);
         paceRate = Math.max(Math.max(0.1, askRate / 8), Math.min(paceRate, most));
+        double usual = askRate * meanAim / 2000; // out where all that is asked takes half an aim (Little)
+        window = late ? window * Math.pow(1 - step, 3) : window + step * usual;
+        window = Math.max(usual / 8, edges < 4 ? window : Math.min(window, usual));
     }
 
     // ---- server choice and health ----
@@ -778,7 +821,8 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
-        sentInPeriod++;
+        sentInPeriod += warmth(h) >= 1 ? 1 : 0;
+        outAll++;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
         act.send(r.told.id(), h.id, 0);
@@ -842,7 +886,7 @@
      */
     private double coldBudget(Host h) {
         double most = Math.max(1, set.rules().overloadFactor() / 2);
-        double rate = sendRate / 1000 / Math.max(1, up) * warmth(h) * most;
+        double rate = warmRate / 1000 * warmth(h) * most;
         h.coldCredit = Math.min(Math.max(1, rate * set.rules().overloadFor()),
             h.coldCredit + rate * (now - h.coldAt));
         h.coldAt = now;
@@ -927,6 +971,14 @@
                     double sent = r.attempts.get(r.attempts.size() - 1).sent;
                     if (r.out > 0 && sent <= now - r.type.told.aim() / 2) {
                         pace(true);
+                        at(Kind.LOST, sent + r.type.told.aim(), r);
+                    }
+                }
+                case LOST -> { // a server that has gone silent must not take up the window to its clients' ends
+                    Attempt a = r.attempts.get(r.attempts.size() - 1);
+                    if (a.outcome == null && !a.lost && a.sent <= now - r.type.told.aim() + 1e-6) {
+                        a.lost = true;
+                        outAll--;
                     }
                 }
                 case DEADLINE -> {
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -207,6 +207,7 @@
         for (int i = 0; i < 12; i++) {
             b.arrive(i, "read", "rate", "c" + i);
             b.answerCounter(OK);
+            b.end(i, 0, OK);
         }
         assertTrue(b.count("count 1.0") < 6, "calls: " + b.count("count 1.0"));
         assertEquals(12, b.count("send"), "all earlier ones were covered");
@@ -244,6 +245,7 @@
         for (int i = 0; i < 20; i++) { // the counter is away
             b.arrive(100 + i, "read", "open", "d" + i, 1, 100);
             b.answerCounter(Gateway.Outcome.NO_CONNECTION);
+            b.end(100 + i, 0, OK);
         }
         b.log.clear();
         b.arrive(1, "read", "open", "c", 1, 100);
