--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -30,8 +30,8 @@
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
     /**
-     * Calls of all gateways for an edge, at first: one in two milliseconds; then by what is turned away. Twice as many,
-     * and four edges' worth at once, made a fifth of a large fleet's calls late at its start, and those add all the same.
+     * Calls of all gateways for an edge, at first: one in two milliseconds; then by what is turned away. Twice as
+     * many, and four edges' worth at once, made a fifth of a large fleet's calls late at its start: those add too.
      */
     private static final double CALLS = SUBPERIOD / 2;
     /** Edges' worth of calls that may be saved up: all gateways may use theirs in one moment. */
--- a/src/test/java/willowyoke/kit/FleetStartTest.java
+++ b/src/test/java/willowyoke/kit/FleetStartTest.java
@@ -29,7 +29,8 @@
         VirtualLoop loop = new VirtualLoop();
         LocalTransport transport = new LocalTransport("start" + known);
         LoopThread world = new LoopThread(loop, transport, loop, log::add);
-        Discovery discovery = new Discovery(world, 0, (now, host) -> { }).start(new InetSocketAddress("10.1.0.1", 7000));
+        Discovery discovery = new Discovery(world, 0, (now, host) -> { })
+            .start(new InetSocketAddress("10.1.0.1", 7000));
         new Counter(world, Counter.Size.USUAL, new Trace()).start(new InetSocketAddress("10.1.0.2", 7000));
         EnrolmentServer server = new EnrolmentServer(world, "s0", new Rack("a", 0, 7500),
             new Capacity.Size(2, 16, 32, 8, 0.3, 5000), EnrolmentServer.Habits.USUAL, new Effects() { }, 1)
