Large fleet: stay with connected servers, no pace before an answer is late, cold budgets

Seen, lines at fault: `choose` takes equal servers in random turn, and `ServerPool.listed` connects to each listed server ahead: 5,460 pairs. `pace` bound at twice the last second's arrivals with no answer late; `believed` was off after one late answer. Small fleets: the fall of the calls was kept for too long, and what a correction had taken off was taken off again by a carried give-back.

Change: a server that may hold no connection counts half a request more; none is opened ahead with more than 8 nodes; the pace is off until an answer is late, and belief until the pace is under half of what is asked; warmth is out of the score, as its budget bounds a cold server; calls grow by a hundredth more each edge that fails none; give-backs are carried for thin customers only.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -25,8 +25,14 @@
     private static final double LIMIT_DOWN = 0.9;
     /** Least step of the pace an answer; a late one takes three, so that it falls when a quarter are late. */
     private static final double PACE_STEP = 0.03;
+    /** No pace at all: where answers are in time, what comes all at once goes all at once. */
+    private static final double UNPACED = Double.POSITIVE_INFINITY;
     /** The least bound: an attempt in eight half aims still shows soon when a server does better. */
     private static final double LIMIT_LEAST = 1.0 / 8;
+    /** A server that may hold no connection of ours counts as if half a request more were out there. */
+    private static final double HANDSHAKE = 1.5;
+    /** A host lets an idle connection go after this part of the server's time, before the two can cross. */
+    private static final double KEPT = 0.4;
     /** With less than this many mean times left an answer is too often late to spend a server on it. */
     private static final double LAST_CALL = 2;
     /** Calls of all gateways for an edge, at first: one a millisecond; then by what is turned away. */
@@ -37,6 +43,10 @@
     private static final double DUE_LATE = 0.1;
     /** A call answered after more than this part of its time-out stood in a line that is about to be too long. */
     private static final double CROWDED = 0.5;
+    /** Servers are pressed where the pace is under this part of what is asked: the rest is beyond quotas anyway. */
+    private static final double PRESSED = 0.5;
+    /** Each edge that fails no call adds so much to the growth of calls: what failed long ago tells little. */
+    private static final double REGAIN = 0.01;
     /** Belief leaves at most this part of the store for what others have sent unseen since the last reading. */
     private static final double UNSEEN = 0.25;
     /** A claim is worth its call once so many times this gateway's part of the rate since the last covers it. */
@@ -66,7 +76,7 @@
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
     private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentInPeriod;
     private double counterSilentUntil, usuallyInside = 1, silentSince;
-    private int misses, up;
+    private int misses, up, answeredEdges;
     private long edges;
     private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
     private final Set<Customer> active = new LinkedHashSet<>();
@@ -156,7 +166,7 @@
         final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
         double slow = 1, slowAt;
         double limit = 4; // at first about two for each core of a small machine
-        double lastSent, fails, ejectedUntil, ejections;
+        double lastSent, fails, ejectedUntil, ejections, keptUntil = Double.NEGATIVE_INFINITY;
         boolean trial, wasDead, left;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
         final Map<Type, double[]> failing = new HashMap<>(); // share that fails, when
@@ -387,6 +397,11 @@
         return !set.allowed().counter() || c.spread == 1;
     }
 
+    /** Less than half a unit of the store for each gateway: what one has put on too much is soon made up for. */
+    private static boolean thin(Customer c) {
+        return c.plan.burst() < c.spread / 2.0;
+    }
+
     private boolean mayCall() {
         return now >= counterSilentUntil && callsLeft >= 1;
     }
@@ -401,8 +416,10 @@
         if (callsFailed) {
             callsMost = callLimit < callsMost ? 0.9 * callLimit : callLimit; // RFC 9438 4.7, fast convergence
             callLimit = Math.max(CALLS / set.nodes() / 16, callLimit * 0.8); // as TCP: under what failed,
-        } else if (callsLeft < (SAVED - 1) * callLimit) {
-            callLimit *= callLimit < 0.8 * callsMost ? 1.1 : 1.01; // soon near it again, then slowly past it
+            answeredEdges = 0;
+        } else if (callsLeft < (SAVED - 1) * callLimit) { // soon near it again, then past it, slowly at first
+            answeredEdges++;
+            callLimit *= callLimit < 0.8 * callsMost ? 1.1 : Math.min(1.1, 1 + REGAIN * answeredEdges);
         }
         callsFailed = false;
         callsLeft = Math.min(SAVED * callLimit, Math.min(callsLeft, SAVED * callLimit) + callLimit);
@@ -517,7 +534,7 @@
         usuallyInside += (part / c.claimed - usuallyInside) * SLOW;
         if (part < c.claimed) {
             c.askAt = nextEdge();
-            if (callsLeft < callLimit) { // calls are scarce: it goes with the next add
+            if (callsLeft < callLimit && thin(c)) { // calls are scarce: it goes with the next add
                 c.uncounted += part - c.claimed;
             } else {
                 call(c, name(c, c.askEpoch), part - c.claimed, Why.GIVE);
@@ -624,7 +641,7 @@
     /** Sending earns more than it costs, by what the plan tells, and servers are not pressed. */
     private boolean believed(Customer c) {
         double cost = c.plan.overCost();
-        return paceRate >= askRate && c.inside > cost / (1 + cost - Math.min(c.plan.overWorth(), 0.99));
+        return paceRate >= PRESSED * askRate && c.inside > cost / (1 + cost - Math.min(c.plan.overWorth(), 0.99));
     }
 
     private double guess(Customer c) {
@@ -669,6 +686,9 @@
 
     /** All servers late alike: this gateway slows down, as a bound at each server sees too few answers. */
     private boolean paced() {
+        if (paceRate == UNPACED) {
+            return true;
+        }
         double most = Math.max(2, paceRate * SUBPERIOD / 1000);
         paceCredit = Math.min(most, paceCredit + paceRate * (now - pacedAt) / 1000);
         pacedAt = now;
@@ -682,9 +702,16 @@
     /** A gateway with few answers takes larger steps, so that all are as quick down and up again. */
     private void pace(boolean late) {
         double step = Math.max(PACE_STEP, Math.min(0.25, 1 / Math.max(1, askRate)));
-        paceRate = late ? paceRate * Math.pow(1 - step, 3) : paceRate + step * askRate;
-        double most = edges < 4 ? paceRate : Math.max(1, 2 * askRate);
-        paceRate = Math.max(Math.max(0.1, askRate / 8), Math.min(paceRate, most));
+        double most = Math.max(1, 2 * askRate);
+        if (late) {
+            if (paceRate == UNPACED) { // from here on it counts
+                paceCredit = 2;
+                pacedAt = now;
+            }
+            paceRate = Math.max(Math.max(0.1, askRate / 8), Math.min(paceRate, most) * Math.pow(1 - step, 3));
+        } else {
+            paceRate = paceRate + step * askRate < most ? paceRate + step * askRate : UNPACED;
+        }
     }
 
     // ---- server choice and health ----
@@ -693,11 +720,14 @@
     private Host choose(Req r) {
         Host best = null;
         double bestScore = 0;
+        boolean keeps = set.allowed().keepAlive() > 0;
         for (Host h : hosts.values()) {
             if (!mayGet(r, h) || !room(h)) {
                 continue;
             }
-            double score = (h.out.size() + 1) * slowness(h) / Math.sqrt(warmth(h));
+            double score = (h.out.size() + 1) * slowness(h); // a cold one has its budget, and that is spent
+            // a hundred nodes would connect to all
+            score *= h.out.isEmpty() && now >= h.keptUntil && warmth(h) >= 1 && keeps ? HANDSHAKE : 1;
             boolean been = r.attempts.stream().anyMatch(a -> a.host == h);
             score *= (1 + 0.1 * random.nextDouble()) * (1 + 8 * failing(h, r.type)) * (been ? 8 : 1);
             if (best == null || score < bestScore) {
@@ -744,6 +774,8 @@
 
     private void learn(Host h, Type type, Gateway.Outcome outcome, double took) {
         boolean ok = outcome == Gateway.Outcome.OK;
+        h.keptUntil = ok || outcome == Gateway.Outcome.ERROR ? now + KEPT * set.allowed().keepAlive()
+            : Double.NEGATIVE_INFINITY;
         if (outcome != Gateway.Outcome.CANCELLED && outcome != Gateway.Outcome.NOT_SENT) {
             h.failing.put(type, new double[] {(failing(h, type) + (ok ? 0 : 1)) / 2, now});
         }
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -41,9 +41,9 @@
     record Plan(String name, double rate, double burst, int open, double price, double overWorth,
         double overCost, double ceilingRate, double ceilingBurst, double ceilingSlack) { }
 
-    /** What the site allows. */
+    /** What the site allows; keepAlive is how long (ms) a server keeps an idle connection, 0 where nothing tells. */
     record Allowed(boolean probes, boolean cancel, boolean copies, boolean retryAfter, boolean peers,
-        boolean counter, int attempts, double maxRetryAfter, double counterTimeout) { }
+        boolean counter, int attempts, double maxRetryAfter, double counterTimeout, double keepAlive) { }
 
     /** The figures of the rules. */
     record Rules(double answerGrace, double drainGrace, double coldShare, double warmAfter,
--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -45,6 +45,8 @@
           prime                     one start and end at build time, for the archive of classes
           --help                    this page""";
 
+    private static final List<String> COMMANDS = List.of("--help", "serve", "check-settings", "drill", "prime");
+
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
@@ -63,7 +65,8 @@
         if (args.length > 0 && (args[0].equals("try") || args[0].equals("rehearse"))) {
             System.exit(Kit.run(args));
         }
-        if (args.length == 0 || List.of(args).contains("--help") || args[0].equals("help")) {
+        if (args.length == 0 || COMMANDS.contains(args[0]) && List.of(args).contains("--help")
+            || args[0].equals("help")) {
             (args.length == 0 ? System.err : System.out).println(USAGE);
             System.exit(args.length == 0 ? 2 : 0);
         }
--- a/src/main/java/willowyoke/config/SettingsReader.java
+++ b/src/main/java/willowyoke/config/SettingsReader.java
@@ -73,7 +73,7 @@
             new Gateway.Allowed(k.flag("limits.probing"), k.flag("limits.cancelling"),
                 k.flag("limits.parallel_tries"), k.flag("limits.retry_after"), k.flag("limits.peers"),
                 k.flag("family_info.shared_counter"), Math.max(1, (int) k.num("limits.send_cap")),
-                k.num("limits.max_retry_after"), k.num("family_info.count_limit")),
+                k.num("limits.max_retry_after"), k.num("family_info.count_limit"), k.num("limits.keepalive")),
             new Gateway.Rules(k.num("contract.grace_to_answer"), k.num("contract.drain_grace"),
                 k.num("contract.cold_share"), k.num("contract.warm_after"), k.num("contract.overload_factor"),
                 k.num("contract.overload_for")),
--- a/src/main/java/willowyoke/net/server/ServerPool.java
+++ b/src/main/java/willowyoke/net/server/ServerPool.java
@@ -97,6 +97,8 @@
     public static final double[] NO_LOAD = new double[0];
     /** Part of the servers' idle limit after which a connection is retired: a race would be a reset. */
     private static final double RETIRE = 0.4;
+    /** With more nodes than this most of the connections opened ahead would never carry a request. */
+    private static final int AHEAD = 8;
     private static final double SWEEP = 500;
     /** The value, the figures on use, the load report. */
     private static final int PARTS = 3;
@@ -201,7 +203,7 @@
                 new AdaptiveRecvByteBufAllocator(READ_LEAST, READ_FIRST, READ_MOST));
     }
 
-    /** Done when every server of the first list has had its connection come up or fail. */
+    /** Done when no connection that the first list asked for is still to come up or fail. */
     public CompletableFuture<Void> ready() {
         return ready;
     }
@@ -226,7 +228,7 @@
             t.up = m.server().state() == Gateway.State.UP;
             if (!t.up) {
                 leave(t);
-            } else if (t.links.isEmpty() && t.connecting == 0) {
+            } else if (t.links.isEmpty() && t.connecting == 0 && config.settings().nodes() <= AHEAD) {
                 connect(t); // so that the first request need not wait for one
             }
         }
--- a/src/test/java/willowyoke/CommandLineTest.java
+++ b/src/test/java/willowyoke/CommandLineTest.java
@@ -45,6 +45,9 @@
             assertTrue(help.out.startsWith("usage: "), help.out);
             assertEquals("", help.err);
         }
+        Ended unknown = run(Map.of(), "sevre", "--help");
+        assertEquals(2, unknown.code, "there is no such command to be told of");
+        assertTrue(unknown.err.startsWith("usage: "), unknown.err);
         Ended none = run(Map.of());
         assertEquals(2, none.code);
         assertTrue(none.err.startsWith("usage: "), none.err);
--- a/src/test/java/willowyoke/kit/FleetStartTest.java
+++ b/src/test/java/willowyoke/kit/FleetStartTest.java
@@ -1,5 +1,6 @@
 package willowyoke.kit;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -10,9 +11,13 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import willowyoke.Decide;
+import willowyoke.Gateway;
 import willowyoke.config.Config;
 import willowyoke.config.Json;
 import willowyoke.loop.LoopThread;
+import willowyoke.membership.Entry;
+import willowyoke.membership.Health;
+import willowyoke.net.server.ServerPool;
 import willowyoke.node.Node;
 import willowyoke.standin.Capacity;
 import willowyoke.standin.Counter;
@@ -60,4 +65,38 @@
         double ms = up(false, new ArrayList<>());
         assertTrue(ms >= 3990 && ms < 10_000, "listens after " + ms + " ms");
     }
+
+    /** A hundred nodes by sixty servers: nearly all connections opened ahead never carried a request. */
+    @Test void onlySmallFleetsConnectAhead() throws Exception {
+        assertEquals(1, connectsAhead(3));
+        assertEquals(0, connectsAhead(100));
+    }
+
+    private static int connectsAhead(int nodes) throws Exception {
+        VirtualLoop loop = new VirtualLoop();
+        LocalTransport transport = new LocalTransport("ahead" + nodes);
+        LoopThread world = new LoopThread(loop, transport, loop, line -> { });
+        EnrolmentServer server = new EnrolmentServer(world, "s0", new Rack("a", 0, 7500),
+            new Capacity.Size(2, 16, 32, 8, 0.3, 5000), EnrolmentServer.Habits.USUAL, new Effects() { }, 1)
+            .start(new InetSocketAddress("10.2.0.1", 7000));
+        Config config = Config.of(Json.read(World.CONFIG.formatted("n0", "10.3.0.1:7000", "10.1.0.1:7000",
+            "10.1.0.2:7000", 1L, 0, nodes)), Map.of());
+        int[] connects = {0};
+        Health health = new Health() {
+            @Override public void reachable(String id) {
+                connects[0]++;
+            }
+
+            @Override public void answered(String id) { }
+
+            @Override public void unreachable(String id, boolean refused, int standing) { }
+        };
+        ServerPool pool = new ServerPool(new ProcessLoop(loop, transport, line -> { }), health,
+            (id, outcome, took, load) -> { }, config, 64);
+        pool.listed(List.of(new Entry(new Gateway.Server("s0", 0, "a", Gateway.State.UP, "k", 0, 1),
+            server.entry("active").dial())));
+        loop.runUntil(1000);
+        assertTrue(pool.ready().isDone());
+        return connects[0];
+    }
 }
