Store: a log with an index in memory that survives a power cut at any moment

Need: idempotency keys, allowances and counts awaiting export must outlive a crash on installations with a disk; nothing in the program did.

Off: no class of it is loaded by `serve`.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -24,6 +25,7 @@
 import willowyoke.node.StartLog;
 import willowyoke.node.Warmup;
 import willowyoke.sim.Wire;
+import willowyoke.store.StoreCommand;
 
 /**
  * The command line: {@code try} is for a first look, {@code drill} speaks the simulator's wire, {@code serve} is a
@@ -42,6 +44,7 @@
                                     FILE the operators' own settings (deploy/edge.toml shows them all)
           check-settings FILE       what serve would say of the settings in FILE; exit 2 where it would refuse them
           drill                     the decisions on the simulator's wire, standard input to standard output
+          store check|stats|dump|compact|repair DIR   the folder of a store (store --help)
           prime                     one start and end at build time, for the archive of classes
           --help                    this page""";
 
@@ -65,6 +68,9 @@
         if (args.length > 0 && (args[0].equals("try") || args[0].equals("rehearse"))) {
             System.exit(Kit.run(args));
         }
+        if (args.length > 0 && args[0].equals("store")) {
+            System.exit(StoreCommand.run(Arrays.copyOfRange(args, 1, args.length)));
+        }
         if (args.length == 0 || COMMANDS.contains(args[0]) && List.of(args).contains("--help")
             || args[0].equals("help")) {
             (args.length == 0 ? System.err : System.out).println(USAGE);
--- a/src/test/java/willowyoke/ArchitectureTest.java
+++ b/src/test/java/willowyoke/ArchitectureTest.java
@@ -23,6 +23,16 @@
             || c.getName().matches("willowyoke\\.net\\.client\\.Places(\\$.*)?")
             || c.getName().matches("willowyoke\\.(Decide|Gateway)(\\$.*)?"));
 
+    /** What decides in the store: it knows a disk by an interface, and time and chance as arguments. */
+    private static final DescribedPredicate<JavaClass> STORE_CORE = DescribedPredicate.describe("are the store's core",
+        c -> c.getName().matches("willowyoke\\.store\\.(Engine|Frames|Segment|Slot|Key|Batch|Manifest|Hint|Compaction"
+            + "|Salvage)(\\$.*)?"));
+
+    @ArchTest static final ArchRule THE_STORES_CORE_KNOWS_ONLY_A_DISK = noClasses().that(STORE_CORE).should()
+        .dependOnClassesThat().resideInAnyPackage("io.netty..", "java.io..", "java.net..", "java.nio.channels..",
+            "java.nio.file..", "java.time..").orShould().dependOnClassesThat().areAssignableTo(Thread.class)
+        .orShould().callMethod(System.class, "nanoTime").orShould().callMethod(System.class, "currentTimeMillis");
+
     @ArchTest static final ArchRule NO_CYCLES = slices().matching("willowyoke.(**)").should().beFreeOfCycles();
 
     /** The root holds the command line, the module and its seam; of the rest only the first needs anything. */
