--- a/src/test/java/willowyoke/bench/StoreCost.java
+++ b/src/test/java/willowyoke/bench/StoreCost.java
@@ -45,6 +45,11 @@
             rates[r] = units / ((System.nanoTime() - t0) / 1e9);
         }
         Arrays.sort(rates);
+        if (units == 1) {
+            System.out.printf(Locale.ROOT, "%-44s %,12.0f ms (%,.0f to %,.0f)%n", what, 1000 / rates[ROUNDS / 2],
+                1000 / rates[ROUNDS - 1], 1000 / rates[0]);
+            return;
+        }
         System.out.printf(Locale.ROOT, "%-44s %,12.0f a second (%,.0f to %,.0f)%n", what, rates[ROUNDS / 2], rates[0],
             rates[ROUNDS - 1]);
     }
