An attempt that waits for a connection is not sent once its request is over or its client gone

Cause, found by reading and then forced: Node.Request.gone and Node.over marked the request over but left its attempts in ServerPool.Target.waiting, so that a connection which came up later still carried them. ServerPool.giveUp told the end before it unlinked: whoever heard of it could send through the same pool with the ended attempt still queued or its connection not closed.

Change: over withdraws what still waits, told as not sent; giveUp unlinks first; a spoilt answer closes its connection before its end is told.

--- a/src/main/java/willowyoke/net/server/ServerPool.java
+++ b/src/main/java/willowyoke/net/server/ServerPool.java
@@ -148,6 +148,11 @@
         public void drop() {
             done = true;
         }
+
+        /** It waits for a connection, or for one to have rested: nothing of it has been written anywhere. */
+        public boolean waits() {
+            return !done && link == null;
+        }
     }
 
     /** A server as the list has it, with its connections. */
@@ -328,16 +333,31 @@
         }
         Link link = a.link;
         boolean unsent = link == null || !link.written;
+        unlink(a); // first: whoever hears of the end may send the next one at once
         end(a, unsent && outcome == Gateway.Outcome.TIMEOUT ? Gateway.Outcome.NO_CONNECTION : outcome, null,
             NO_LOAD);
-        if (link == null) {
+    }
+
+    private void unlink(Attempt a) {
+        if (a.link == null) {
             Target t = targets.get(a.server);
             if (t != null) {
                 t.waiting.remove(a);
             }
         } else {
-            link.current = null;
-            link.channel.close(); // its answer is still owed on it: never to be used again
+            a.link.current = null;
+            a.link.channel.close(); // its answer is still owed on it: never to be used again
+        }
+    }
+
+    /**
+     * Nobody wants its answer any more. One that still waits for a connection is not sent when that comes up, and is
+     * told as not sent; one that is on a connection goes on.
+     */
+    public void withdraw(Attempt a) {
+        if (a.waits()) {
+            unlink(a);
+            loop.later(() -> end(a, Gateway.Outcome.NOT_SENT, null, NO_LOAD));
         }
     }
 
@@ -483,10 +503,10 @@
                 Attempt a = current;
                 current = null;
                 if (a == null || !written || !answered(a, (RedisMessage) msg)) {
-                    if (a != null) {
+                    channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
+                    if (a != null) { // now that it is out no more: the next one may go at once
                         end(a, Gateway.Outcome.ERROR, null, NO_LOAD);
                     }
-                    channel.close(); // nothing was asked, or not this: what comes next belongs to nobody
                     return;
                 }
                 answered = true;
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -613,6 +613,7 @@
         r.over = true;
         count(r, how);
         r.slot.take(null);
+        r.attempts.forEach(servers::withdraw); // a connection that comes up later must not carry them
         if (r.out == 0) {
             r.timer.cancel(false);
         }
--- a/src/test/java/willowyoke/node/NodeFixture.java
+++ b/src/test/java/willowyoke/node/NodeFixture.java
@@ -20,7 +20,9 @@
 import willowyoke.config.Config;
 import willowyoke.config.EdgeSettings;
 import willowyoke.config.Json;
+import willowyoke.loop.Clock;
 import willowyoke.loop.LoopThread;
+import willowyoke.loop.Transport;
 
 /** A real edge node between peers on loopback sockets, with a scripted module for the decisions. */
 @Timeout(30)
@@ -50,6 +52,10 @@
                 case "fail" -> act.fail(r.id());
                 case "throw" -> throw new IllegalStateException("on purpose");
                 case "hold" -> { }
+                case "drop" -> {
+                    act.send(r.id(), "s0", 0);
+                    act.fail(r.id());
+                }
                 case "count" -> {
                     act.count(77, -2.5, 4000);
                     act.count(77, 1, 4000);
@@ -104,6 +110,8 @@
     Peer.Line server;
     Node node;
     boolean drained;
+    /** Under the node's sockets. */
+    Transport transport = Transport.SOCKETS;
     int sockets = 256;
     int keepAlive = 15_000;
     /** Where clients come; 0 is any free port. */
@@ -191,7 +199,8 @@
             assertEquals(4, settings.nodes());
             assertEquals(List.of("utilization", "outstanding"), settings.loadFields());
             return script;
-        }, own == null ? null : settings(own), LoopThread.real());
+        }, own == null ? null : settings(own),
+            new LoopThread(Transport.loop(), transport, Clock.system(), System.err::println));
         Thread watching = new Thread(() -> {
             try {
                 answerWatch();
