A client's end is seen while its connection is not read: floods are refused, paused ones looked at

Cause: ClientListener.hold stopped reading at 256 unanswered commands. In the last part of a drain (cut) the end behind an unread command was taken for one more command.

Change: past 256 unanswered commands of a connection a further request is refused at once, as what is given up is answered at once; past 4,096 the connection is told and ended, its requests fail. Where reading is off for other reasons (answers unread, memory, the cut) it is looked at every 50 ms whether the client has ended its side (TCP_INFO), and what epoll then reads all the same is dropped.

Ruled out: EPOLLRDHUP alone. Netty reads one buffer on it and forgets it; and no look without reading helps behind a full receive buffer.

--- a/src/main/java/willowyoke/loop/Transport.java
+++ b/src/main/java/willowyoke/loop/Transport.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -50,6 +51,14 @@
         return false;
     }
 
+    /**
+     * Whether the other side of a connection has ended its own, as far as that can be told without reading: behind
+     * bytes that are not read its end is seen by nobody. False also where this cannot be had.
+     */
+    default boolean ended(Channel connection) {
+        return false;
+    }
+
     /** An address as these channels have it. */
     SocketAddress at(InetSocketAddress address);
 
@@ -72,6 +81,9 @@
     /** The machine's own. */
     final class Sockets implements Transport {
         private static final boolean NATIVE = Epoll.isAvailable();
+        /** States of a connection as Linux counts them (TCP_INFO in tcp(7), the states of RFC 9293 3.3.2). */
+        private static final int CLOSED = 7;
+        private static final int CLOSE_WAIT = 8;
 
         private Sockets() { }
 
@@ -102,6 +114,18 @@
             return NATIVE && Reuseport.giveWay(listener);
         }
 
+        @Override public boolean ended(Channel connection) {
+            try {
+                if (connection instanceof EpollSocketChannel socket && socket.isActive()) {
+                    int state = socket.tcpInfo().state();
+                    return state == CLOSED || state == CLOSE_WAIT;
+                }
+            } catch (ChannelException e) {
+                // it has just been closed, or the system does not tell
+            }
+            return false;
+        }
+
         @Override public SocketAddress at(InetSocketAddress address) {
             return address;
         }
--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -31,9 +31,10 @@
         /**
          * Takes a request, which from then on is the slot's; its command is the caller's to release.
          *
+         * @param crowded its connection has so many open that it is refused at once
          * @return what is wrong with it, and it was not taken; else null
          */
-        String take(Slot slot, ArrayRedisMessage command);
+        String take(Slot slot, ArrayRedisMessage command, boolean crowded);
 
         /** Whether so much is held that clients should be read no further. */
         boolean full();
@@ -54,8 +55,13 @@
         void flow(boolean on);
     }
 
-    /** So many commands unanswered on one connection are enough: it is read on when some are answered. */
+    /**
+     * So many commands unanswered on one connection are enough: further requests are refused at once. They are read
+     * all the same: unread ones would age, and the end of their client's connection could not be seen behind them.
+     */
     private static final int PIPELINED = 256;
+    /** So many are no client's but a flood: the connection is told so and ended. A slot is some 60 bytes. */
+    private static final int FLOOD = 4096;
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
     private static final byte[] END_OF_LINE = {'\r', '\n'};
@@ -64,6 +70,8 @@
     /** One that has sent nothing whole for so long (ms) is told so and ended. */
     private static final double PATIENCE = 2500;
     private static final double SWEEP = 250;
+    /** While reading from a client is off it is looked so often (ms) whether it has left: what it waits for goes on else. */
+    private static final double LOOK = 50;
     /** A client that does not read what it is owed is cut off this long (ms) after the end. */
     private static final int UNREAD = 2000;
 
@@ -288,6 +296,8 @@
         private boolean deaf;
         private boolean broken;
         private boolean finished;
+        /** Whether it is looked for its client's end. */
+        private boolean looking;
 
         Connection(Channel channel) {
             this.channel = channel;
@@ -298,10 +308,21 @@
                 ReferenceCountUtil.release(msg);
                 return;
             }
+            if (!channel.config().isAutoRead() && loop.transport().ended(channel)) {
+                ReferenceCountUtil.release(msg); // read though reading is off: as its client has ended its side
+                channel.close();
+                return;
+            }
             raw.whole((RedisMessage) msg);
             asked = true;
             silentFrom = Double.MAX_VALUE;
             places.owed(this, loop.now());
+            if (slots.size() >= FLOOD) {
+                ReferenceCountUtil.release(msg);
+                malformed("too many commands unanswered");
+                hold();
+                return;
+            }
             Slot slot = new Slot(this);
             slots.add(slot);
             try {
@@ -320,7 +341,7 @@
         private void command(Slot slot, ArrayRedisMessage command) {
             String verb = Resp.text(command.children().get(0));
             if ("CALL.GET".equals(verb) || "CALL.POST".equals(verb)) {
-                String wrong = requests.take(slot, command);
+                String wrong = requests.take(slot, command, slots.size() > PIPELINED);
                 if (wrong != null) {
                     slot.answer(new ErrorRedisMessage("ERR " + wrong));
                 }
@@ -332,12 +353,26 @@
             }
         }
 
-        /** Reading stops while too much is unanswered, unread by the client, or held by all. */
+        /** Reading stops while answers are unread by the client, or too much is held by all. */
         private void hold() {
             boolean read = deaf && !broken || !deaf && !(cut && !slots.isEmpty())
-                && slots.size() < PIPELINED && channel.isWritable() && !requests.full();
+                && channel.isWritable() && !requests.full();
             if (channel.config().isAutoRead() != read) {
                 channel.config().setAutoRead(read);
+                if (!read && !looking) {
+                    looking = true;
+                    loop.after(LOOK, this::look);
+                }
+            }
+        }
+
+        /** The end of a connection stands behind what has not been read: it must not wait for that. */
+        private void look() {
+            looking = channel.isActive() && !channel.config().isAutoRead();
+            if (looking && loop.transport().ended(channel)) {
+                channel.close();
+            } else if (looking) {
+                loop.after(LOOK, this::look);
             }
         }
 
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -501,7 +501,7 @@
         return held > HELD;
     }
 
-    @Override public String take(ClientListener.Slot slot, ArrayRedisMessage command) {
+    @Override public String take(ClientListener.Slot slot, ArrayRedisMessage command, boolean crowded) {
         double now = loop.now();
         Call call;
         try {
@@ -515,6 +515,13 @@
         if (ids.contains(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
+        if (crowded) {
+            Ledger.Row row = ledger.row(call.type(), call.customer());
+            row.taken();
+            row.ended(Ledger.End.REFUSED);
+            slot.answer(new ErrorRedisMessage("BUSY"));
+            return null;
+        }
         double patience = Math.max(1, call.patience() - WAY_BACK);
         boolean leads = false;
         if (recognition != null && call.key() != null && config.settings().keyed(call.type())) {
--- a/src/test/java/willowyoke/node/LateConnects.java
+++ b/src/test/java/willowyoke/node/LateConnects.java
@@ -62,6 +62,10 @@
         return SOCKETS.accepting(group, backlog);
     }
 
+    @Override public boolean ended(Channel connection) {
+        return SOCKETS.ended(connection);
+    }
+
     @Override public SocketAddress at(InetSocketAddress address) {
         return address;
     }
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -1,10 +1,13 @@
 package willowyoke.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import willowyoke.drain.Drain;
 
 /** Narrow moments: something ends just as something else is owed. The paths stand in docs/design/moments.md. */
 class MomentsTest extends NodeFixture {
@@ -59,4 +62,76 @@
         expect("ended 2 0 NOT_SENT true");
         onlyTheNextIsSent("03");
     }
+
+    private static String held(int id) {
+        String list = "c=hold,t=p,d=9000,spread=3";
+        return String.format("*4\r\n$8\r\nCALL.GET\r\n$16\r\n%s\r\n$6\r\n%06x\r\n$%d\r\n%s\r\n", CUSTOMER, id,
+            list.length(), list);
+    }
+
+    private static void pipeline(Peer.Line client, int commands) throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < commands; i++) {
+            text.append(held(i));
+        }
+        client.write(text.toString());
+    }
+
+    /** All that the module was told of has gone again. */
+    private void allGone(int requests) throws Exception {
+        int arrived = 0;
+        for (int gone = 0; gone < requests;) {
+            String line = told.poll(5, TimeUnit.SECONDS);
+            assertNotNull(line, "arrived " + arrived + ", gone " + gone);
+            arrived += line.startsWith("arrived") ? 1 : 0;
+            gone += line.startsWith("gone") ? 1 : 0;
+        }
+        assertEquals(requests, arrived);
+    }
+
+    /** Unread commands hid the end of the connection: all in front of them stayed until their time was over. */
+    @Test void aClientThatPipelinesMuchAndLeavesIsGoneWithAllOfIt() throws Exception {
+        admin = true;
+        start();
+        Peer.Line client = client();
+        pipeline(client, 3000);
+        figure("/requests_of_unknown_class/refused", "2744"); // all are read
+        client.close();
+        allGone(256);
+    }
+
+    /** Past any client's need it is a flood: what was taken fails, the connection ends, the others go on. */
+    @Test void aFloodIsToldSoAndEnded() throws Exception {
+        start();
+        Peer.Line client = client();
+        pipeline(client, 5000);
+        int failed = 0;
+        int refused = 0;
+        String line = client.message().get(0);
+        for (; line.equals("-ERR failed") || line.equals("-BUSY"); line = client.message().get(0)) {
+            failed += line.equals("-ERR failed") ? 1 : 0;
+            refused += line.equals("-BUSY") ? 1 : 0;
+        }
+        assertEquals("-ERR too many commands unanswered", line);
+        assertEquals(256, failed);
+        assertEquals(4096 - 256, refused);
+        Peer.Line other = client();
+        get(other, "01", "refuse", 900);
+        assertEquals(List.of("-BUSY 1500"), other.message());
+    }
+
+    /** In the last part of a drain a connection with a request open is read no further; its end is seen all the same. */
+    @Test void aClientThatLeavesBehindAnUnreadCommandIsGone() throws Exception {
+        admin = true;
+        start();
+        Peer.Line client = client();
+        client.write(held(1));
+        expect("arrived 1 hold p " + CUSTOMER + " 1 3 0 false");
+        Calls.call(node.adminAddress(), "PUT /api/evacuate");
+        Thread.sleep((long) Drain.CUT_AFTER + 200); // the time itself is what is tested
+        client.write(held(2));
+        Thread.sleep(100); // it lies unread
+        client.close();
+        expect("gone 1");
+    }
 }
