The end owes nothing: late requests are answered before SIGKILL; no repeat past a rack's memory

Three causes, found by reading and forced one by one: - Node.whenIdle ended the process at a time fixed at SIGTERM (0.6 s + the longest deadline + 0.45 s). A request that came later on a connection that stayed open was owed beyond it: lost at that end, or found unanswered by SIGKILL, which may come at the longest deadline + 0.7 s. - ClientListener.close ended connections within a command at SIGTERM.

Halves may be finished. An attempt carries the time before which it is to be written.

Ruled out: a cut at SIGTERM itself, as what lies unread on an accepted connection is owed too. Fixed ends of evacuation are unchanged.

Measured: three tests of MomentsTest; each fails on the build before (EOF, EOF, the repeat is written).

--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -57,6 +57,16 @@
         int mostUnits, List<String> loadFields, List<RequestClass> classes, List<Plan> plans,
         Allowed allowed, Rules rules, Prices prices) {
 
+        /** For how long (ms) servers drop a repeat of this class; for ever where a repeat does no harm by itself. */
+        public double memory(String type) {
+            for (RequestClass c : classes) {
+                if (c.name().equals(type) && c.effect() == Effect.KEYED) {
+                    return c.window();
+                }
+            }
+            return Double.POSITIVE_INFINITY;
+        }
+
         /** Whether requests of this class may be told apart by their idempotency keys. */
         public boolean keyed(String type) {
             for (RequestClass c : classes) {
--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -149,14 +149,13 @@
     }
 
     /**
-     * Ends the connections that are between requests, and from now on each after its last answer.
-     *
-     * @param halves also those within a command that has not come whole; else these may finish it
+     * Ends the connections that are between requests, and from now on each after its last answer. One within a command
+     * may finish it: its last byte may be on its way, and then an answer is owed.
      */
-    public void close(boolean halves) {
+    public void close() {
         closing = true;
         for (Connection c : open.toArray(new Connection[0])) {
-            if (c.slots.isEmpty() && (halves || c.raw.pending() == 0)) {
+            if (c.slots.isEmpty() && c.raw.pending() == 0) {
                 c.finish();
             }
         }
@@ -210,6 +209,16 @@
         return open.isEmpty();
     }
 
+    /** Whether a client has still to get bytes of an answer that is given. */
+    public boolean writing() {
+        for (Connection c : open) {
+            if (c.unwritten() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Reads on where connections were held back for memory. */
     public void resume() {
         for (Connection c : open) {
@@ -437,8 +446,7 @@
          */
         private void evict() {
             boolean read = loop.now() - places.left(this) > LINGER;
-            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-            if (read && out != null && out.totalPendingWriteBytes() == 0) {
+            if (read && channel.unsafe().outboundBuffer() != null && unwritten() == 0) {
                 deaf = true;
                 channel.close();
             } else {
@@ -464,11 +472,16 @@
             }
         }
 
+        /** Bytes that its client has still to get. */
+        private long unwritten() {
+            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+            return out == null ? 0 : out.totalPendingWriteBytes();
+        }
+
         /** One that still reads what it is owed may take its time. */
         private void unread(long before) {
             channel.eventLoop().schedule(() -> {
-                ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-                long left = out == null ? 0 : out.totalPendingWriteBytes();
+                long left = unwritten();
                 if (left > 0 && left < before) {
                     unread(left);
                 } else {
--- a/src/main/java/willowyoke/net/server/ServerPool.java
+++ b/src/main/java/willowyoke/net/server/ServerPool.java
@@ -126,13 +126,17 @@
         public final int number;
         /** When it was asked for (ms on the loop's clock). */
         public final double sent;
+        /** It must not be written from then on (ms). */
+        private final double before;
         private final Work work;
         private final String server;
         private boolean done;
         private boolean wrote;
         private Link link;
 
-        public Attempt(Work work, int number, String server, double sent) {
+        /** @param before when it must not be written any more (ms), or infinity */
+        public Attempt(Work work, int number, String server, double sent, double before) {
+            this.before = before;
             this.work = work;
             this.number = number;
             this.server = server;
@@ -312,7 +316,13 @@
 
     /** The attempt that has waited longest goes first; none is left with no connection to come or to rest. */
     private void serve(Target t) {
-        while (!t.waiting.isEmpty() && t.write(t.waiting.peek(), loop.now())) {
+        while (!t.waiting.isEmpty()) {
+            Attempt a = t.waiting.peek();
+            if (loop.now() >= a.before) {
+                loop.later(() -> end(a, Gateway.Outcome.NO_CONNECTION, null, NO_LOAD));
+            } else if (!t.write(a, loop.now())) {
+                break;
+            }
             t.waiting.poll();
         }
         if (t.waiting.size() > t.connecting + t.idle.size()) {
@@ -321,7 +331,7 @@
     }
 
     public void probe(String server) {
-        Attempt a = new Attempt(null, 0, server, loop.now());
+        Attempt a = new Attempt(null, 0, server, loop.now(), Double.POSITIVE_INFINITY);
         loop.after(PROBE_WITHIN, () -> giveUp(a, Gateway.Outcome.TIMEOUT));
         send(a);
     }
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -66,6 +66,14 @@
     private static final double TOLD_WITHIN = 250;
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long LISTEN_ON = 600;
+    /**
+     * SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts at most (ms), and a while
+     * more. What comes in that time on connections that stay open is owed an answer before it.
+     */
+    private static final double GRANTED_MOST = 3000;
+    private static final double GRANTED = 700;
+    /** Off that (ms): so that a busy machine's last answers are out before the kill. */
+    private static final double LAST_MOMENT = 50;
     /** Operators' calls that are held at once, where descriptors allow it. */
     private static final int CALLERS = 32;
     private static final int CALLERS_PART = 16;
@@ -103,6 +111,8 @@
         private int out;
         /** Attempts that were written and may have run. */
         private int ran;
+        /** When the first attempt was asked for that has been written (ms). */
+        private double ranAt = Double.POSITIVE_INFINITY;
         private Future<?> timer;
 
         Request(long id, ClientListener.Slot slot, ArrayRedisMessage command, Call call, double deadline) {
@@ -145,6 +155,7 @@
         @Override public void written(ServerPool.Attempt a) {
             row.attempt();
             ran++;
+            ranAt = Math.min(ranAt, a.sent);
         }
 
         /** Whether it had an effect, or may have one yet. */
@@ -259,6 +270,8 @@
     private long breaches;
     private long audits;
     private double phaseAt = Double.POSITIVE_INFINITY;
+    /** What is taken is answered by then, as the process may be killed (ms). */
+    private double endsAt = Double.POSITIVE_INFINITY;
     private Drain.Phase phase = Drain.Phase.OPEN;
     private AdminListener admin;
     private volatile SocketAddress address;
@@ -436,14 +449,17 @@
     public CompletableFuture<Void> leave() {
         double longest = config.settings().classes().stream()
             .mapToDouble(Gateway.RequestClass::deadline).max().orElse(0);
+        double granted = Math.min(longest, GRANTED_MOST) + GRANTED - LAST_MOMENT;
         loop.group().execute(() -> {
+            endsAt = loop.now() + granted;
             drain.end(loop.now());
             clients.giveWay();
             phase();
             loop.after(LISTEN_ON, () -> {
                 clients.unbind();
-                whenIdle(loop.now() + longest + Drain.NOTICE);
+                whenIdle();
             });
+            loop.after(granted, clients::cut); // a connection that always has a request open would never end
         });
         return ended;
     }
@@ -456,7 +472,7 @@
         if (next != phase) {
             phase = next;
             switch (next) {
-                case ENDING -> clients.close(drain.forGood());
+                case ENDING -> clients.close();
                 case CUT -> clients.cut();
                 case OPEN -> clients.reopen();
                 default -> { }
@@ -472,15 +488,19 @@
         }
     }
 
-    /** The longest wait of a client bounds it: one that never reads would keep the process for ever. */
-    private void whenIdle(double until) {
-        if (clients.idle() || loop.now() >= until) {
+    /**
+     * Ends once no connection is left, or once the time is over in which clients may bring more and nothing is owed:
+     * no time alone ends it. What each client waits for bounds that, and how long one is waited for that does not read.
+     */
+    private void whenIdle() {
+        boolean over = loop.now() >= endsAt && open() == 0 && clients.owed() == 0 && !clients.writing();
+        if (clients.idle() || over) {
             if (admin != null) {
                 admin.close();
             }
             ended.complete(null);
         } else {
-            loop.after(5, () -> whenIdle(until));
+            loop.after(5, this::whenIdle);
         }
     }
 
@@ -522,7 +542,7 @@
             slot.answer(new ErrorRedisMessage("BUSY"));
             return null;
         }
-        double patience = Math.max(1, call.patience() - WAY_BACK);
+        double patience = Math.max(1, Math.min(call.patience() - WAY_BACK, endsAt - now));
         boolean leads = false;
         if (recognition != null && call.key() != null && config.settings().keyed(call.type())) {
             switch (recognition.arrived(++lastId, slot, call, command, ledger.row(call.type(), call.customer()),
@@ -752,7 +772,9 @@
         if (r == null) {
             return;
         }
-        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, loop.now());
+        // written late, as its connection comes up late, a repeat would find servers that have forgotten the first
+        ServerPool.Attempt a = new ServerPool.Attempt(r, r.attempts.size(), server, loop.now(),
+            r.ranAt + config.settings().memory(r.call.type()) - config.settings().tick());
         r.attempts.add(a);
         r.out++;
         if (r.over || a.sent >= r.deadline || a.number >= config.settings().allowed().attempts()) {
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -134,4 +135,61 @@
         client.close();
         expect("gone 1");
     }
+
+    /** Its connection came up after the servers had forgotten the first attempt: sent then, it would run twice. */
+    @Test void aRepeatIsNotWrittenOnceTheServersMayHaveForgottenTheFirst() throws Exception {
+        start();
+        late.port = app.port();
+        Peer.Line client = client();
+        client.command("CALL.POST", CUSTOMER, "02", "c=again,t=p,d=5000,k=5c0f,units=2,spread=3,first=1");
+        arrived(1, "again");
+        assertEquals("02", server.message().get(2));
+        server.close();
+        expect("ended 1 0 RESET false");
+        late.begun();
+        Thread.sleep(400); // the time itself is what is tested: the servers remember for 300 ms
+        late.release();
+        expect("ended 1 1 NO_CONNECTION false");
+        assertEquals(List.of("-ERR failed"), client.message());
+        Peer.Line line = app.accept();
+        get(client, "03", "read", 5000);
+        arrived(2, "read");
+        assertEquals("03", line.message().get(2));
+    }
+
+    /** On a connection that stays open a client asks on after SIGTERM: the process ended with that still owed. */
+    @Test void whatComesLateAfterTheEndHasBegunIsAnsweredBeforeTheProcessEnds() throws Exception {
+        admin = true;
+        start();
+        Peer.Line client = client();
+        get(client, "01", "hold", 2000);
+        arrived(1, "hold");
+        Thread draining = ending();
+        Thread.sleep(1800); // the time itself is what is tested
+        get(client, "02", "hold", 2000);
+        arrived(2, "hold");
+        assertEquals(List.of("-ERR failed"), client.message());
+        assertEquals(List.of("-ERR failed"), client.message());
+        assertTrue(client.ended());
+        draining.join();
+    }
+
+    /** A client within a command may finish it after SIGTERM, and is answered: its connection ended under it. */
+    @Test void aCommandHalfReadAtTheEndIsTakenAndAnswered() throws Exception {
+        admin = true;
+        start();
+        Peer.Line slow = client();
+        slow.socket.setTcpNoDelay(true);
+        String call = held(1);
+        slow.write(call.substring(0, 20));
+        Peer.Line idle = client();
+        idle.command("PING"); // the half before it has been read
+        assertEquals(List.of("+PONG"), idle.message());
+        Thread draining = ending();
+        assertTrue(idle.ended()); // those between requests have been ended
+        slow.write(call.substring(20));
+        assertEquals(List.of("-ERR failed"), slow.message());
+        assertTrue(slow.ended());
+        draining.join();
+    }
 }
--- a/src/test/java/willowyoke/node/NodeFixture.java
+++ b/src/test/java/willowyoke/node/NodeFixture.java
@@ -8,8 +8,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +34,8 @@
     /** Notes what it is told and acts by the class of a request: most go to server s0. */
     final class Script implements Gateway.Events {
         Gateway.Actions act;
+        /** Requests that are sent once more when their first attempt has ended. */
+        private final Set<Long> again = new HashSet<>();
 
         @Override public void servers(double now, List<Gateway.Server> list, boolean whole) {
             StringBuilder text = new StringBuilder(whole ? "whole" : "changes");
@@ -52,6 +56,10 @@
                 case "fail" -> act.fail(r.id());
                 case "throw" -> throw new IllegalStateException("on purpose");
                 case "hold" -> { }
+                case "again" -> {
+                    again.add(r.id());
+                    act.send(r.id(), "s0", 0);
+                }
                 case "drop" -> {
                     act.send(r.id(), "s0", 0);
                     act.fail(r.id());
@@ -74,7 +82,9 @@
         @Override public void ended(double now, long id, int attempt, Gateway.Outcome outcome, double took,
             boolean over, int trueUnits, double[] load) {
             told.add("ended " + id + " " + attempt + " " + outcome + " " + over);
-            if (!over) {
+            if (!over && again.remove(id)) {
+                act.send(id, "s0", 0);
+            } else if (!over) {
                 act.fail(id);
             }
         }
@@ -176,7 +186,8 @@
               "family_info":{"shared_counter":true,"count_limit":80,"most_units":2},
               "limits":{"send_cap":2,"keepalive":%d,"connect_timeout":250,"probing":true},
               "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000},
-                {"name":"write","effect":"idempotency_key","aim":600,"hard_limit":2000}],
+                {"name":"write","effect":"idempotency_key","aim":600,"hard_limit":2000},
+                {"name":"again","effect":"idempotency_key","aim":600,"hard_limit":2000,"repeat_window":300}],
               "tariffs":[{"name":"p","per_second":8,"depth":8}]}}"""
             .formatted(port, admin ? "\"admin_addr\":\"127.0.0.1:0\"," : "", discovery.address(), sockets,
             counter.address(), list(41, true, entry("s0", app.address(), "active")), keepAlive);
