--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -70,7 +70,7 @@
     /** One that has sent nothing whole for so long (ms) is told so and ended. */
     private static final double PATIENCE = 2500;
     private static final double SWEEP = 250;
-    /** While reading from a client is off it is looked so often (ms) whether it has left: what it waits for goes on else. */
+    /** While reading from a client is off it is looked so often (ms) whether it has left: its requests go on else. */
     private static final double LOOK = 50;
     /** A client that does not read what it is owed is cut off this long (ms) after the end. */
     private static final int UNREAD = 2000;
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -67,8 +67,8 @@
     /** New connections go on coming for up to 0.4 s after SIGTERM. */
     private static final long LISTEN_ON = 600;
     /**
-     * SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts at most (ms), and a while
-     * more. What comes in that time on connections that stay open is owed an answer before it.
+     * SIGKILL comes no sooner after SIGTERM than the longest deadline, of which so much counts at most (ms), and a
+     * while more. What comes in that time on connections that stay open is owed an answer before it.
      */
     private static final double GRANTED_MOST = 3000;
     private static final double GRANTED = 700;
--- a/src/test/java/willowyoke/kit/Crossings.java
+++ b/src/test/java/willowyoke/kit/Crossings.java
@@ -51,11 +51,11 @@
 import willowyoke.standin.Rack;
 
 /**
- * Some seconds of one edge node in virtual time, all of whose moments are drawn from one seed: clients that leave, ask
- * behind each other, stop within a command or ask on to the end; servers that die, come back, fall silent, drain or talk
- * nonsense; connects that come up late; a watch that stalls, discovery and counter that fall silent or move; SIGTERM. It
- * is judged by what passed on the sockets, and by three rules of its own: nothing is sent on for a client that has left,
- * nothing taken is unanswered when the process ends, and nothing is when it may be killed.
+ * Some seconds of one edge node in virtual time, all of whose moments are drawn from one seed: clients that leave,
+ * ask behind each other, stop within a command or ask on to the end; servers that die, come back, fall silent, drain
+ * or talk nonsense; connects that come up late; a watch that stalls, discovery and counter that fall silent or move;
+ * SIGTERM. It is judged by what passed on the sockets, and by three rules of its own: nothing is sent on for a client
+ * that has left, nothing taken is unanswered when the process ends, and nothing is when it may be killed.
  */
 final class Crossings {
     /** What is wrong on purpose, to see that it is found. */
@@ -531,7 +531,8 @@
 
         @Override public void connect(ChannelHandlerContext ctx, SocketAddress remote, SocketAddress local,
             ChannelPromise promise) {
-            double delay = remote.toString().contains("/10.2.") && chance.nextInt(3) == 0 ? chance.nextDouble() * 400 : 0;
+            boolean late = remote.toString().contains("/10.2.") && chance.nextInt(3) == 0;
+            double delay = late ? chance.nextDouble() * 400 : 0;
             if (delay == 0 || planted == Planted.LEFT_QUEUED) {
                 openAt = loop.now() + delay;
                 ctx.connect(remote, local, promise);
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -121,7 +121,7 @@
         assertEquals(List.of("-BUSY 1500"), other.message());
     }
 
-    /** In the last part of a drain a connection with a request open is read no further; its end is seen all the same. */
+    /** In the last part of a drain a connection with a request open is read no further; its end is seen as well. */
     @Test void aClientThatLeavesBehindAnUnreadCommandIsGone() throws Exception {
         admin = true;
         start();
