SIGTERM: what is waited for past the kill is answered before it

A lookup may wait 4 s there, and SIGKILL comes 3.7 s after SIGTERM: what came up to 0.35 s before SIGTERM had its time beyond the kill.

Lines at fault: Node.take cuts the time of what comes after SIGTERM at the earliest kill; Node.leave left the time of what was in the table already. whenIdle then waited for it until the kill.

Change: Node.leave cuts that time too (cutShort), attempts out end as timed out and the module or the node answers within 8 ms, as for any request whose time is over.

Test: MomentsTest.whatIsWaitedForPastTheKillIsAnsweredBeforeIt; without the change its read of the answer times out after 10 s (seen), with it the class passes (9 tests).

--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -99,7 +99,8 @@
         private final ClientListener.Slot slot;
         private final ArrayRedisMessage command;
         private final Call call;
-        private final double deadline;
+        /** Its client waits no longer (ms), or the process may be killed. */
+        private double deadline;
         private final int bytes;
         private final List<ServerPool.Attempt> attempts = new ArrayList<>(1);
         private final Ledger.Row row;
@@ -452,6 +453,7 @@
         double granted = Math.min(longest, GRANTED_MOST) + GRANTED - LAST_MOMENT;
         loop.group().execute(() -> {
             endsAt = loop.now() + granted;
+            requests.values().forEach(this::cutShort);
             drain.end(loop.now());
             clients.giveWay();
             phase();
@@ -591,6 +593,15 @@
         return command;
     }
 
+    /** A client may wait for longer than the process lives: it is answered before the kill all the same. */
+    private void cutShort(Request r) {
+        if (!r.over && r.deadline > endsAt) {
+            r.timer.cancel(false);
+            r.deadline = endsAt;
+            r.timer = loop.after(endsAt - loop.now() + 1, () -> waited(r));
+        }
+    }
+
     /** The client's wait is over: attempts still out have timed out, and the module has the last word. */
     private void waited(Request r) {
         for (ServerPool.Attempt a : r.attempts.toArray(new ServerPool.Attempt[0])) {
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -174,6 +174,23 @@
         draining.join();
     }
 
+    /** What was taken just before SIGTERM may be waited for past the kill: it was found unanswered by it. */
+    @Test void whatIsWaitedForPastTheKillIsAnsweredBeforeIt() throws Exception {
+        admin = true;
+        start();
+        Peer.Line sent = client();
+        get(sent, "01", "read", 30_000);
+        arrived(1, "read");
+        assertEquals("01", server.message().get(2)); // it never answers
+        Peer.Line waits = client();
+        get(waits, "02", "hold", 30_000);
+        arrived(2, "hold");
+        Thread draining = ending();
+        assertEquals(List.of("-ERR failed"), sent.message()); // the kill may come after 2.7 s; the read ends after 10
+        assertEquals(List.of("-ERR failed"), waits.message());
+        draining.join();
+    }
+
     /** A client within a command may finish it after SIGTERM, and is answered: its connection ended under it. */
     @Test void aCommandHalfReadAtTheEndIsTakenAndAnswered() throws Exception {
         admin = true;
