Discovery's agent: what failed calls kept back is known within 6 s on every path

Cause, found by a test in virtual time that fails every call in one way (refused, connect lost, reset, half an answer, another status with and without an end, silence, watches that end) and times a change from the moment at which new calls are answered, at 16 phases of the timers: - A watch that had fallen silent was closed after 5 s, and the next waited for the back-off of failures that lay before it, up to 2 s (tick, watchFailed): 7,075 ms where the whole list cannot be had. - A whole list of over 400 ms was given up each time, by the watch (late, TRICKLE) and by the looks, of which the third closes the first after 250 ms (look): after SIGHUP a list that trickled was never taken. - Lists over 48 KB are not looked at: where each watch fails or ends without a line nothing is asked any more. - An answer with another status was waited for to the end of its body, which may never come.

Change: the watch after a silent one is opened at once, and silence is 4.5 s (two lines of 2 s and half a second: with 5 s a connect that needs its whole second is past the term). An answer that grows is let grow, twice as long each time, up to 3.2 s. A long list is asked for after two watches without a line. Another status ends the call.

Measured (DiscoveryTermTest, 62 cases): worst 4,585 ms (silent watch, no list to be had), 2,227 ms (list that trickles), 1,995 ms (long list, no watch that tells), 748 ms and less else; at most 10 calls a second. StallTest, WatchTest, SourcesTest, ReloadTest and CrossingsTest pass.

--- a/src/main/java/willowyoke/net/discovery/AgentSource.java
+++ b/src/main/java/willowyoke/net/discovery/AgentSource.java
@@ -46,20 +46,29 @@
  *
  * <p>While discovery is down all are silent: unanswered looks become rarer, to one each {@link #LOOK_MOST}
  * ms, and those asked before stay open, as it tells those first when it is back.
+ *
+ * <p>After a call that failed, was refused or was given up, what discovery has counts as told {@link #TERM} ms after it
+ * can be reached: so a call's own time (SILENT, CONNECT, TRICKLE_MOST), the wait behind it (BACKOFF_MOST) and the call
+ * that follows must fit in that, whichever comes first on a path. docs/design/moments.md has the sums.
  */
 public final class AgentSource implements Source {
     static final double LOOK = 125;
     static final double LATE = 60;
     static final double LOOK_MOST = 800;
     static final int LOOKED = 48 << 10;
+    /** The operators' term (ms) for what a failed call has kept back. */
+    static final double TERM = 6000;
     private static final String PATH = "/catalog/members";
-    /** A watch sends a line every 2 s: one that is silent for longer (ms) is dead. */
-    private static final double SILENT = 5000;
+    private static final int CONNECT = 1000;
+    /**
+     * A watch sends a line every 2 s: one that lacks two and is silent for longer (ms) is dead. The next is opened at
+     * once, and a connect that needs all its time must still be within the term.
+     */
+    private static final double SILENT = TERM - CONNECT - 500;
     /** Lines come whole: half a line with nothing behind it for so long (ms) is all that comes. */
     private static final double HALF = 80;
     /** A look was ahead of the watch for so long (ms): the watch is opened anew. */
     private static final double BEHIND = 80;
-    private static final int CONNECT = 1000;
     /** After a connection that worked the next is tried at once (ms). */
     private static final double BACKOFF = 10;
     private static final double BACKOFF_MOST = 2000;
@@ -67,8 +76,11 @@
     private static final int LONGEST = 8 << 20;
     /** Looks that may be open at once: the one asked, and one that was not answered. */
     private static final int LOOKS = 2;
-    /** An answer that still grows is waited for, but no longer than this (ms). */
+    /** An answer that still grows is waited for, but no longer than this (ms): twice as long each time that fails. */
     private static final double TRICKLE = 400;
+    private static final double TRICKLE_MOST = 3200;
+    /** Watches that brought no line, in a row: a long list is then asked for as a whole after all. */
+    private static final int BARREN = 2;
 
     private final Loop loop;
     private final Sink sink;
@@ -86,6 +98,8 @@
     private double backoff = BACKOFF;
     private double renewed = Double.NEGATIVE_INFINITY;
     private double renewWait = LOOK;
+    private double trickle = TRICKLE;
+    private int barren;
     /** The last answer to a look, head and all, and its version. Only from there on is it compared. */
     private ByteBuf same = Unpooled.EMPTY_BUFFER;
     private long sameSeq = -1;
@@ -172,6 +186,7 @@
         if (left) {
             return;
         }
+        barren++;
         sink.failed(space, refused);
         loop.after(backoff, this::watch);
         backoff = Math.min(2 * backoff, BACKOFF_MOST);
@@ -201,12 +216,13 @@
         loop.after(LOOK, this::tick);
         double now = loop.now();
         if (watch != null && now - watch.heardAt > SILENT) {
+            backoff = BACKOFF; // it was waited for long enough
             watch.close();
         }
         if (now < nextLook) {
             return; // rarer while nobody answers
         }
-        if (longest > LOOKED) {
+        if (longest > LOOKED && barren < BARREN) {
             renewWait = LOOK;
             if (watch != null && watch.asked && now - watch.heardAt >= LOOK - 1) {
                 renew();
@@ -217,6 +233,11 @@
     }
 
     private void look() {
+        for (Conn c : looks) {
+            if (c.growing()) {
+                return; // else an answer that takes longer than two looks would never be whole
+            }
+        }
         double wait = unanswered < LOOKS ? LOOK : Math.min(LOOK_MOST, LOOK * (1 << Math.min(unanswered - 1, 4)));
         nextLook = loop.now() + wait - LOOK / 2;
         for (Conn c : looks) {
@@ -234,15 +255,17 @@
     }
 
     /** Asked, and not answered whole: it has stalled, unless bytes came just now. */
-    private void late(Conn c, int turn, double asked) {
+    private void late(Conn c, int turn) {
         if (c.turn != turn || !c.asked || c.closed || left) {
             return;
         }
-        double now = loop.now();
-        if (c.total > 0 && now - c.heardAt < LATE / 2 && now - asked < TRICKLE) {
-            c.lateness = loop.after(LATE / 2, () -> late(c, turn, asked));
+        if (c.growing()) {
+            c.lateness = loop.after(LATE / 2, () -> late(c, turn));
             return;
         }
+        if (loop.now() - c.askedAt >= trickle) {
+            trickle = Math.min(2 * trickle, TRICKLE_MOST);
+        }
         if (c.watching) {
             if (c.total > 0) { // its first list had begun; before that, discovery may just be down
                 c.close();
@@ -257,6 +280,7 @@
 
     private void answered(Conn c) {
         unanswered = 0;
+        barren = Math.min(barren, BARREN - 1); // once for each further watch that brings nothing
         if (c.lateness != null) {
             c.lateness.cancel(false); // else it wakes the loop for nothing
             c.lateness = null;
@@ -311,6 +335,7 @@
         private boolean good;
         private boolean timed;
         private boolean closed;
+        private double askedAt;
         private double heardAt;
         private long lines;
         private long seq = -1;
@@ -337,13 +362,20 @@
             ask();
         }
 
+        /** Its answer has begun and still comes. */
+        boolean growing() {
+            double now = loop.now();
+            return asked && !closed && total > 0 && now - heardAt < LATE / 2 && now - askedAt < trickle;
+        }
+
         /** Asks for the list, or on the watch for what follows the last version. */
         void ask() {
             asked = true;
             turn++;
             size = 0;
             total = 0;
-            heardAt = loop.now();
+            askedAt = loop.now();
+            heardAt = askedAt;
             long since = sink.version(space);
             following = watching && since >= 0;
             seq = Math.max(seq, since);
@@ -358,11 +390,10 @@
             }
             if (!following) {
                 int now = turn;
-                double at = heardAt;
                 if (lateness != null) {
                     lateness.cancel(false);
                 }
-                lateness = loop.after(LATE, () -> late(this, now, at));
+                lateness = loop.after(LATE, () -> late(this, now));
             }
         }
 
@@ -385,6 +416,10 @@
             }
             if (msg instanceof HttpResponse response) {
                 good = response.status().code() == 200;
+                if (!good) { // its body may never end
+                    ctx.close();
+                    return;
+                }
                 if (watching && before != null && before != this) {
                     before.close();
                 }
@@ -458,6 +493,7 @@
         /** A line of the watch. */
         private void line(int length) throws IOException {
             backoff = BACKOFF;
+            barren = 0;
             if (blank(length)) {
                 sink.heard(space);
                 return;
