Consul, EDS, DNS SRV: waits between failed calls within 6 s, with jitter

Need: a change counts as told 6 s after discovery had it and could be reached, whatever waits a failed call brings.

Change: both take their waits from Backoff: doubled to 3 s, each between half of that and all. Its chance comes from the time at which the source was made.

Not tested on sockets: the bound is that of Backoff alone. Not mended: an address look-up that fails behind a good SRV answer is asked again when the time to live is over.

--- a/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
+++ b/src/main/java/willowyoke/net/discovery/DnsSrvSource.java
@@ -53,7 +53,7 @@
     private boolean left;
     private boolean asking;
     private Future<?> next;
-    private double backoff = BACKOFF;
+    private final Backoff backoff;
 
     private record Target(String name, int priority, int weight, int port) { }
 
@@ -70,6 +70,7 @@
         this.name = name.endsWith(".") ? name : name + ".";
         this.least = least;
         this.most = most;
+        backoff = new Backoff(BACKOFF, loop.now());
         EventLoop own = loop.group().next();
         resolver = new DnsNameResolverBuilder(own).datagramChannelType(loop.transport().datagram())
             .socketChannelType(loop.transport().stream(), true).queryTimeoutMillis(QUERY).maxQueriesPerResolve(QUERIES)
@@ -134,8 +135,7 @@
         asking = false;
         loop.say("discovery: no use of an answer from " + space + ": " + why);
         sink.failed(space, false);
-        askAfter(backoff);
-        backoff = Math.min(2 * backoff, most);
+        askAfter(backoff.next());
     }
 
     private void answer(DnsResponse response) {
@@ -227,7 +227,7 @@
 
     private void tell(List<Entry> entries, double ttl) {
         asking = false;
-        backoff = BACKOFF;
+        backoff.reset();
         if (entries.equals(before)) {
             sink.heard(space);
         } else {
--- a/src/main/java/willowyoke/net/discovery/HttpSource.java
+++ b/src/main/java/willowyoke/net/discovery/HttpSource.java
@@ -23,13 +23,12 @@
 
 /**
  * A source that asks one question after another over HTTP, on one connection that is kept: an answer within a time,
- * whole and of a bounded length, or the question is asked again on a new connection after a back-off.
+ * whole and of a bounded length, or the question is asked again on a new connection after a {@link Backoff}.
  */
 abstract class HttpSource implements Source {
     /** No list is as long as this (bytes). */
     static final int LONGEST = 8 << 20;
     private static final double BACKOFF = 50;
-    private static final double BACKOFF_MOST = 4000;
     private static final int CONNECT = 1000;
 
     final Loop loop;
@@ -44,7 +43,7 @@
     private Future<?> next;
     private int turn;
     private int open;
-    private double backoff = BACKOFF;
+    private final Backoff backoff;
     private long version;
     private List<Entry> before;
 
@@ -54,6 +53,7 @@
         this.address = address;
         this.space = space;
         bootstrap = loop.transport().connecting(loop.group(), CONNECT);
+        backoff = new Backoff(BACKOFF, loop.now());
     }
 
     /** The next question. */
@@ -159,8 +159,7 @@
         }
         forget();
         sink.failed(space, refused);
-        askAfter(backoff);
-        backoff = Math.min(2 * backoff, BACKOFF_MOST);
+        askAfter(backoff.next());
     }
 
     private final class Answers extends SimpleChannelInboundHandler<FullHttpResponse> {
@@ -186,7 +185,7 @@
             }
             List<Entry> told = answer(msg);
             waiting = false;
-            backoff = BACKOFF;
+            backoff.reset();
             if (told == null || told.equals(before)) {
                 sink.heard(space);
             } else {
