Descriptors: 64 stay free of clients and servers, or the loop ends at small limits

Need: idle clients may fill the descriptors; what discovery, counter, app servers and the machine need stays free. Cause, seen in a process under `ulimit -n`: clients, servers and operators' calls were given 95 in 100 of the limit, whatever it was (Node, CLIENTS and SERVERS), so 8 were left at 160. Files and libraries alone are some 60 there (some 30 from the archive). With a crowd the descriptors ran out, a class could not be opened (NoClassDefFoundError on the loop's thread), the loop ended and the process with it.

Change: the shares are cut so that 64 descriptors stay free (Node.OWN names them), never to less than half. From some 1,200 descriptors on nothing changes; of 1,024 clients have 557 instead of 563.

--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -64,6 +64,8 @@
     private static final int FLOOD = 4096;
     /** A client that does not close its side after ours has ended is cut off after this (ms). */
     private static final int LINGER = 200;
+    /** More than the bound, as a part of it, are accepted while those that are to go are on their way out. */
+    public static final double BEYOND = 1.0 / 16;
     private static final byte[] END_OF_LINE = {'\r', '\n'};
     private static final int MOST_WORDS = 16;
     private static final int BACKLOG = 1024;
@@ -145,7 +147,7 @@
                 goes.evict();
             }
         }
-        listener.config().setAutoRead(open.size() < most + Math.max(1, most / 16));
+        listener.config().setAutoRead(open.size() < most + Math.max(1, most * BEYOND));
     }
 
     /**
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -77,9 +77,19 @@
     /** Operators' calls that are held at once, where descriptors allow it. */
     private static final int CALLERS = 32;
     private static final int CALLERS_PART = 16;
-    /** Of the sockets that may be held: files, counter, discovery and the loop's own take the rest. */
+    /** Of the descriptors that may be held: the shares of clients' and of app servers' connections. */
     private static final double CLIENTS = 0.55;
     private static final double SERVERS = 0.3;
+    /** All that is shared out: those two, what the listener takes beyond its share for a moment, operators' calls. */
+    private static final double SHARED_OUT = CLIENTS * (1 + ClientListener.BEYOND) + SERVERS + 1.0 / CALLERS_PART;
+    /**
+     * Descriptors that must stay free of them, whatever the limit: the machine's own files, its libraries' and what is
+     * opened for a moment to load a class (32), the loop's (4), counter (4, twice while it moves), discovery (4, 2 of a
+     * place that was left, 8 connects that never come up) and some to spare. Without one to load a class the loop ends.
+     */
+    private static final int OWN = 64;
+    /** Under so few descriptors no edge node runs; shares are not cut to less than this part. */
+    private static final double LEAST_SHARES = 0.5;
     /** What all held requests' values may take (bytes) before clients are read no further. */
     private static final long HELD = 8L << 20;
     /** A timer on which the module failed comes once more after this (ms). */
@@ -281,6 +291,12 @@
         this(config, maker, null, LoopThread.real());
     }
 
+    /** How many connections a share is, of so many descriptors, when {@link #OWN} stay free. */
+    private static int places(int descriptors, double share) {
+        double part = Math.min(1, (descriptors - OWN) / (SHARED_OUT * descriptors));
+        return (int) (descriptors * share * Math.max(LEAST_SHARES, part));
+    }
+
     /**
      * @param own the operators' own settings, or null where there are none
      * @param loop which it is to live on, and which ends with it
@@ -293,13 +309,13 @@
         discovery = own == null
             ? new Members(loop, this, Limits.defaults(config.settings().rules().warmAfter()), List.of(agent), 0)
             : new Members(loop, this, own.limits(), Sources.of(own, agent), own.failOver());
-        clients = new ClientListener(loop, this, (int) (config.sockets() * CLIENTS),
+        clients = new ClientListener(loop, this, places(config.sockets(), CLIENTS),
             config.admin() != null);
         recognition = own == null || own.repeats() == null ? null : new Recognition(loop, own.repeats());
         keys = own == null ? null : own.store();
         ledger = new Ledger(config.settings().classes().stream().map(Gateway.RequestClass::name).toList(),
             own == null ? 0 : own.campuses());
-        servers = new ServerPool(loop, discovery, this, config, (int) (config.sockets() * SERVERS));
+        servers = new ServerPool(loop, discovery, this, config, places(config.sockets(), SERVERS));
         counter = new CounterClient(loop, this, config.counter(), config.settings().allowed().counterTimeout());
     }
 
