--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -364,7 +364,7 @@
             }
         }
 
-        /** Reading stops while answers are unread by the client, in the last part of a drain, and for good at the end. */
+        /** Reading stops while answers are unread by the client, in the last part of a drain, and at the end. */
         private void hold() {
             boolean read = !deaf && !(cut && !slots.isEmpty()) && channel.isWritable();
             if (channel.config().isAutoRead() != read && !gone) {
@@ -464,9 +464,9 @@
         }
 
         /**
-         * Ends our side after what is written, then waits for the client's: a reset could eat an answer. What comes from
-         * now on stays unread, so that the close resets the connection over it: that tells the client of a request which
-         * crossed the end that nobody has read it, and it sends it once more. Read and dropped it would be lost.
+         * Ends our side after what is written, then waits for the client's: a reset could eat an answer. What comes
+         * from now on stays unread, so that the close resets the connection over it: that tells the client of a request
+         * which crossed the end that nobody has read it, and it sends it once more. Read and dropped it would be lost.
          */
         private void finish() {
             if (!finished && !gone) {
