--- a/src/main/java/willowyoke/kit/Rehearsal.java
+++ b/src/main/java/willowyoke/kit/Rehearsal.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.DoubleConsumer;
 import willowyoke.Decide;
 import willowyoke.kit.judge.Breach;
 import willowyoke.kit.judge.Court;
@@ -33,6 +34,12 @@
 
     /** @param maker the decision module, or one with a planted bug */
     static Rehearsal play(Scenario scenario, long seed, Node.Maker maker) throws IOException, InterruptedException {
+        return play(scenario, seed, maker, ms -> { });
+    }
+
+    /** @param reached hears how far the day has gone (ms), on the thread that plays it; it changes nothing */
+    static Rehearsal play(Scenario scenario, long seed, Node.Maker maker, DoubleConsumer reached)
+        throws IOException, InterruptedException {
         long from = System.nanoTime();
         Court court = new Court(new Terms(World.settings(scenario.nodes())), scenario.nodes());
         List<String> log = new ArrayList<>();
@@ -40,7 +47,7 @@
             if (log.size() < LOGGED) {
                 log.add(line);
             }
-        });
+        }, reached);
         day.play();
         return new Rehearsal(scenario, seed, day.trace().sha256(), day.trace().events(), day.length(),
             (System.nanoTime() - from) / 1e6, new EnumMap<>(day.fates()), court, court.verdict(day.length()), log);
--- a/src/main/java/willowyoke/kit/RehearseCommand.java
+++ b/src/main/java/willowyoke/kit/RehearseCommand.java
@@ -24,6 +24,7 @@
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import willowyoke.Decide;
 import willowyoke.kit.judge.Breach;
 import willowyoke.kit.judge.Event;
 import willowyoke.kit.judge.Quotas;
@@ -153,7 +154,11 @@
     private int one(List<Scenario> days) throws IOException, InterruptedException {
         int code = 0;
         for (Scenario day : days) {
-            Rehearsal played = Rehearsal.play(day, seed);
+            Rehearsal played;
+            try (Progress progress = new Progress(System.err, day.name() + ", seed " + seed, day.lengthMs(),
+                System::nanoTime).start()) {
+                played = Rehearsal.play(day, seed, Decide::new, progress);
+            }
             summary(played);
             if (report != null) {
                 Path dir = days.size() == 1 ? report : report.resolve(day.name());
--- a/src/main/java/willowyoke/kit/Simulation.java
+++ b/src/main/java/willowyoke/kit/Simulation.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import java.util.function.DoubleConsumer;
 import willowyoke.config.Config;
 import willowyoke.config.Json;
 import willowyoke.kit.judge.Event;
@@ -135,7 +136,7 @@
     private final Node.Maker maker;
     private final Consumer<Event> events;
     private final Consumer<String> log;
-    private final VirtualLoop loop = new VirtualLoop();
+    private final VirtualLoop loop;
     private final LocalTransport transport = new LocalTransport("world" + WORLDS.incrementAndGet());
     private final LoopThread shared;
     private final Trace trace = new Trace();
@@ -162,10 +163,11 @@
      * @param maker the decision module of each edge node
      * @param events hears what passes on the stand-ins' sockets, in ms since the campuses began
      * @param log hears the nodes' lines
+     * @param reached hears how far the day has gone (ms, 0 until the campuses begin), whenever that moves
      * @throws IOException where a configuration cannot be read
      */
-    Simulation(Scenario scenario, long seed, Node.Maker maker, Consumer<Event> events, Consumer<String> log)
-        throws IOException, InterruptedException {
+    Simulation(Scenario scenario, long seed, Node.Maker maker, Consumer<Event> events, Consumer<String> log,
+        DoubleConsumer reached) throws IOException, InterruptedException {
         this.scenario = scenario;
         this.seed = seed;
         this.maker = maker;
@@ -174,12 +176,13 @@
             events.accept(event);
         };
         this.log = log;
+        loop = new VirtualLoop(ms -> reached.accept(began > 0 ? ms - began : 0));
         shared = new LoopThread(loop, transport, loop, log);
         recorder = new Recorder(this.events, this::day);
         chance = new Random(seed ^ 0x5eed);
         discovery = new Discovery(shared, 0, recorder).start(address(1, 1));
         discovery.start(address(1, 3));
-        counter = new Counter(shared, Counter.Size.USUAL, trace).start(address(1, 2));
+        counter = new Counter(shared, Counter.Size.of(scenario.nodes()), trace).start(address(1, 2));
         counter.start(address(1, 4));
         for (int i = 0; i < scenario.servers(); i++) {
             begin("s" + i, i, address(2, i), false);
--- a/src/main/java/willowyoke/kit/VirtualLoop.java
+++ b/src/main/java/willowyoke/kit/VirtualLoop.java
@@ -5,6 +5,7 @@
 import io.netty.util.concurrent.MockTicker;
 import io.netty.util.concurrent.Ticker;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleConsumer;
 import willowyoke.loop.Clock;
 
 /**
@@ -15,18 +16,57 @@
 final class VirtualLoop extends ManualIoEventLoop implements Clock {
     /** Unix time (ms) at which each virtual day begins: counter names are cut by time, so it is part of a run. */
     static final double START = 1_700_000_000_000.0;
-    /** Tasks that may run at one moment before it is taken for one that never ends. */
+    /** Tasks and looks at the clock that one moment may have before it is taken for one that never ends. */
     private static final int ENDLESS = 10_000_000;
+    /** The event loop looks at its clock after each task only where it has a limit; this one is never reached. */
+    private static final long NO_LIMIT = TimeUnit.DAYS.toNanos(1);
 
-    private final MockTicker ticker;
+    /**
+     * A clock that counts how often it is looked at before it moves. Tasks that leave a new one behind are all run
+     * by one call of the event loop, which does not return while there is another: so the clock has to stop it.
+     */
+    private static final class WatchedTicker implements Ticker {
+        private final MockTicker ticker = Ticker.newMockTicker();
+        private int looks;
+
+        @Override public long initialNanoTime() {
+            return ticker.initialNanoTime();
+        }
+
+        @Override public long nanoTime() {
+            if (++looks > ENDLESS) {
+                throw new IllegalStateException("time stands still at "
+                    + (ticker.nanoTime() - ticker.initialNanoTime()) / 1e6 + " ms");
+            }
+            return ticker.nanoTime();
+        }
+
+        @Override public void sleep(long delay, TimeUnit unit) throws InterruptedException {
+            ticker.sleep(delay, unit);
+        }
+
+        void advance(long nanos) {
+            looks = nanos > 0 ? 0 : looks;
+            ticker.advance(Math.max(0, nanos), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private final WatchedTicker ticker;
+    private final DoubleConsumer moved;
 
     VirtualLoop() {
-        this(Ticker.newMockTicker());
+        this(ms -> { });
+    }
+
+    /** @param moved hears the time (ms after {@link #START}) whenever it has moved */
+    VirtualLoop(DoubleConsumer moved) {
+        this(new WatchedTicker(), moved);
     }
 
-    private VirtualLoop(MockTicker ticker) {
+    private VirtualLoop(WatchedTicker ticker, DoubleConsumer moved) {
         super(null, Thread.currentThread(), LocalIoHandler.newFactory(), ticker);
         this.ticker = ticker;
+        this.moved = moved;
     }
 
     @Override public double now() {
@@ -41,19 +81,16 @@
     void runUntil(double ms) {
         long end = ticker.initialNanoTime() + Math.round(ms * 1e6);
         while (true) {
-            long moment = 0;
-            for (int ran = runNow(); ran > 0; ran = runNow()) {
-                moment += ran;
-                if (moment > ENDLESS) {
-                    throw new IllegalStateException("time stands still at " + now());
-                }
+            while (runNow(NO_LIMIT) > 0) {
+                ticker.nanoTime(); // a moment of many short runs ends as well
             }
             long next = nextScheduledTaskDeadlineNanos();
-            if (next < 0 || next > end) {
-                ticker.advance(Math.max(0, end - ticker.nanoTime()), TimeUnit.NANOSECONDS);
+            boolean last = next < 0 || next > end;
+            ticker.advance((last ? end : next) - ticker.nanoTime());
+            moved.accept(now() - START);
+            if (last) {
                 return;
             }
-            ticker.advance(Math.max(0, next - ticker.nanoTime()), TimeUnit.NANOSECONDS);
         }
     }
 }
--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -41,7 +41,9 @@
     /** A line that owes an answer for longer (ms) may be dead: what is lost with it has been told. */
     private static final double DEAD = 400;
     private static final int CONNECT = 1500;
+    /** Two connects of one line are this far apart (ms) at least; twice as far each time that nothing is answered. */
     private static final double RECONNECT = 100;
+    private static final int RECONNECT_DOUBLINGS = 4;
     private static final int MOST_ELEMENTS = 4;
     private static final double LONGEST_LIFE = 60_000;
 
@@ -212,6 +214,9 @@
         private Channel channel;
         private double usedAt;
         private boolean ending;
+        private double connectedAt = Double.NEGATIVE_INFINITY;
+        /** Connects in a row that came up and ended with no answer: a counter that is full may take and close. */
+        private int unanswered;
         private Resp.Raw raw;
 
         Line(InetSocketAddress at) {
@@ -249,6 +254,7 @@
                 return; // left meanwhile
             }
             connecting = true;
+            connectedAt = loop.now();
             ChannelFuture connected = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
                 @Override protected void initChannel(Channel channel) {
                     raw = Resp.codec(channel.pipeline(), MOST_ELEMENTS);
@@ -261,6 +267,7 @@
                 waiting.clear();
                 if (f.isSuccess()) {
                     channel = connected.channel();
+                    unanswered++;
                     usedAt = loop.now();
                     held.forEach(this::write);
                     loop.flush();
@@ -278,6 +285,17 @@
             });
         }
 
+        /** At once where the line was of use for a while; else a counter with no place left hears nothing else. */
+        private void again() {
+            double apart = RECONNECT * (1 << Math.min(Math.max(0, unanswered - 1), RECONNECT_DOUBLINGS));
+            double wait = connectedAt + apart - loop.now();
+            if (wait > 0) {
+                loop.after(wait, this::connect);
+            } else {
+                loop.later(this::connect);
+            }
+        }
+
         void write(Call call, String... words) {
             calls.add(call);
             usedAt = call.sent;
@@ -290,6 +308,7 @@
             @Override public void channelRead(ChannelHandlerContext ctx, Object msg) {
                 try {
                     raw.whole((RedisMessage) msg);
+                    unanswered = 0;
                     Call call = calls.poll(); // late or not: each answer belongs to the oldest call
                     if (call == null) {
                         ctx.close();
@@ -336,7 +355,7 @@
             @Override public void channelInactive(ChannelHandlerContext ctx) {
                 channel = null;
                 broken();
-                loop.later(Line.this::connect); // at once: only a connect that fails is tried less often
+                again();
                 loop.flush();
             }
 
--- a/src/main/java/willowyoke/standin/Counter.java
+++ b/src/main/java/willowyoke/standin/Counter.java
@@ -43,6 +43,13 @@
      */
     public record Size(double perSecond, int queue, int connections) {
         public static final Size USUAL = new Size(1000, 200, 128);
+        /** An edge node holds four, and four more while it moves to another address. */
+        private static final int CONNECTIONS_A_NODE = 8;
+
+        /** The usual one, with room for the connections of so many edge nodes. */
+        public static Size of(int nodes) {
+            return new Size(USUAL.perSecond, USUAL.queue, Math.max(USUAL.connections, CONNECTIONS_A_NODE * nodes));
+        }
 
         public Size {
             if (!(perSecond > 0 && queue >= 0 && connections > 0)) {
