Judge of cold servers: chance by the standing test's term where that is less, and who was told

Need: the standing test grants 2 root N + 2 beyond N and names the share of nodes that had been told. The judge granted 4 whatever N: less than the term from N = 1 on (kept, the stricter), more below it (mended). Sends before the nodes were told count now where over two thirds of all came after. Not run: suite.

--- a/src/main/java/willowyoke/kit/judge/ColdServers.java
+++ b/src/main/java/willowyoke/kit/judge/ColdServers.java
@@ -8,27 +8,47 @@
 import java.util.Map;
 
 /**
- * The fourth rule, as a budget: within any span of the stated length a cold server gets less work than so many times
- * its present capacity could do in it. Work counts by its mean, whether it was taken or turned away, from when the
- * nodes were told of the start. A few requests are granted for chance.
+ * The fourth rule, as a budget: within any span of the stated length a cold server gets no more than N requests of mean
+ * work, N being so many times what its present capacity could do in it, and a few for chance. A request counts whether
+ * it was taken or turned away. The rule is broken where what nodes sent once they had been told of the start is more
+ * than that by itself, and where all is more and over two thirds of it came from nodes that had been told (the
+ * standing test's term). Discovery tells all nodes at one moment, so a send after that is one of a node that was told.
+ *
+ * <p>The standing test grants 2 x root of N + 2 beyond N; this judge grants {@value #MOST_CHANCE} at most, which is
+ * less from N = 1 on: many nodes that each send one more are no chance here either.
  */
 public final class ColdServers implements Judge {
-    /** Requests beyond the budget that chance may bring. */
-    private static final int CHANCE = 4;
+    /** Requests beyond the budget that chance may bring, at most. */
+    private static final int MOST_CHANCE = 4;
+    /** Of a fall, the share that has to come from nodes that had been told. */
+    private static final double TOLD_SHARE = 2.0 / 3;
+
+    /** A request that came: how old the server was (ms), by which node, and whether that had been told of the start. */
+    private record Send(double age, int node, boolean told) { }
 
     private static final class Cold {
         private final Event.Born born;
-        private final ArrayDeque<Double> sends = new ArrayDeque<>();
+        private final ArrayDeque<Send> sends = new ArrayDeque<>();
+        private int toldSends;
         private boolean told;
         private boolean broken;
 
         Cold(Event.Born born) {
             this.born = born;
         }
+
+        void add(Send send, double since) {
+            sends.add(send);
+            toldSends += send.told ? 1 : 0;
+            while (sends.peek().age < since) {
+                toldSends -= sends.poll().told ? 1 : 0;
+            }
+        }
     }
 
     private final Terms terms;
     private final Map<String, Cold> cold = new HashMap<>();
+    private final Map<String, Integer> askedOf = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
 
     public ColdServers(Terms terms) {
@@ -51,7 +71,9 @@
     }
 
     @Override public void see(Event event) {
-        if (event instanceof Event.Born born && born.cold()) {
+        if (event instanceof Event.Asked asked) {
+            askedOf.put(asked.id(), asked.node());
+        } else if (event instanceof Event.Born born && born.cold()) {
             cold.put(born.server(), new Cold(born));
         } else if (event instanceof Event.Died died) {
             cold.remove(died.server());
@@ -62,7 +84,7 @@
             }
         } else if (event instanceof Event.Came came) {
             Cold server = cold.get(came.server());
-            if (server != null && server.told && !server.broken) {
+            if (server != null && !server.broken) {
                 came(server, came);
             }
         }
@@ -75,24 +97,27 @@
             cold.remove(came.server());
             return;
         }
-        server.sends.add(age);
-        while (server.sends.peek() < age - span) {
-            server.sends.poll();
-        }
+        server.add(new Send(age, askedOf.getOrDefault(came.id(), -1), server.told), age - span);
         // a span of the whole length, so that a burst right after the start is held against all of it
         double from = Math.max(0, age - span);
-        double can = terms.rules().overloadFactor() * capacity(server.born, from, from + span);
-        double work = (server.sends.size() - CHANCE) * server.born.size().workMs();
-        if (work > can) {
+        double can = capacity(server.born, from, from + span) / server.born.size().workMs();
+        double most = granted(terms.rules().overloadFactor() * can);
+        int all = server.sends.size();
+        if (server.toldSends > most || all > most && server.toldSends > TOLD_SHARE * all) {
             server.broken = true;
             breaches.add(new Breach(rule(), came.at(), came.id(), String.format(Locale.ROOT,
-                "%s got %d requests of %.1f ms within"
-                + " %.0f ms, %.0f ms after its start: %.1f times what it could do", came.server(),
-                server.sends.size(), server.born.size().workMs(), span, age,
-                server.sends.size() * server.born.size().workMs() / (can / terms.rules().overloadFactor()))));
+                "%s got %d requests of %.1f ms within %.0f ms, %.0f ms after its start, %d of them by nodes that had"
+                    + " been told of it: %.1f times what it could do, from %d nodes", came.server(), all,
+                server.born.size().workMs(), span, age, server.toldSends, all / can,
+                server.sends.stream().mapToInt(Send::node).distinct().count())));
         }
     }
 
+    /** Requests within a span that a cold server has to bear, where the settings allow it so many. */
+    static double granted(double allowed) {
+        return allowed + Math.min(MOST_CHANCE, 2 * Math.sqrt(allowed) + 2);
+    }
+
     @Override public List<Breach> verdict(double at) {
         return List.copyOf(breaches);
     }
--- a/src/test/java/willowyoke/kit/judge/JudgeTest.java
+++ b/src/test/java/willowyoke/kit/judge/JudgeTest.java
@@ -239,6 +239,50 @@
         silent(new ColdServers(terms));
     }
 
+    /** Beyond N, the standing test grants 2 x root of N + 2; from N = 1 on this judge goes on granting four. */
+    @Test void chanceIsNoMoreThanTheStandingTestGrants() {
+        for (double n = 0.01; n < 2000; n *= 1.1) {
+            double most = ColdServers.granted(n);
+            assertTrue(most <= n + 2 * Math.sqrt(n) + 2 + 1e-9 && most <= n + 4 + 1e-9,
+                n + " allowed, " + most + " granted");
+        }
+        Capacity.Size little = new Capacity.Size(0.05, 16, 32, 300, 0.25, 8000); // N is 0.25 in its first 2 s
+        for (int requests : new int[] {3, 4}) {
+            day.add(new Event.Born(10_000, "s0", 0, little, true));
+            told(10_000, "s0", "active");
+            for (int i = 0; i < requests; i++) {
+                came(10_010, "c" + i, "s0");
+            }
+            if (requests == 3) {
+                silent(new ColdServers(terms));
+            } else {
+                finds(1, new ColdServers(terms), "s0 got 4 requests");
+            }
+        }
+    }
+
+    /** A fleet of 100 nodes sends one or two each at one moment: what it was told of counts, from how many it came. */
+    @Test void aFallIsTheRulesWhereMostOfItCameFromNodesThatHadBeenTold() {
+        // about 350 are allowed in the first 2 s
+        for (int[] of : new int[][] {{140, 240, 0}, {100, 320, 1}, {0, 340, 0}, {0, 420, 1}, {600, 420, 1}}) {
+            born(10_000, "s0", 0, true);
+            for (int i = 0; i < of[0] + of[1]; i++) {
+                if (i == of[0]) {
+                    told(10_050, "s0", "active");
+                }
+                String id = "r" + i;
+                double at = i < of[0] ? 10_040 : 10_060;
+                day.add(new Event.Asked(at, id, i % 100, CUSTOMER, "p", "look", null, 900, 1));
+                came(at, id, "s0");
+            }
+            if (of[2] == 0) {
+                silent(new ColdServers(terms));
+            } else {
+                finds(1, new ColdServers(terms), "from 100 nodes");
+            }
+        }
+    }
+
     @Test void theCapacityOfAColdServerGrowsEvenly() {
         Event.Born born = new Event.Born(0, "s", 0, SIZE, true);
         assertEquals(2 * 0.25 * 1, ColdServers.capacity(born, 0, 1), 0.001);
