Back-off: its test leaves half a second for the answer, and so forces the bound

A planted bound of 4 s passed the test: a lost call, the wait and a late connect come to just under 6 s, with no time for the answer. With half a second for that the planted bound fails (a wait of 3,819 ms), and the bound of 3 s passes.

--- a/src/test/java/willowyoke/net/discovery/BackoffTest.java
+++ b/src/test/java/willowyoke/net/discovery/BackoffTest.java
@@ -10,6 +10,8 @@
 class BackoffTest {
     private static final double GIVEN_UP = 1000;
     private static final double CONNECT = 1000;
+    /** For the answer (ms), and for timers that a busy machine fires late. */
+    private static final double ANSWER = 500;
 
     /** A call lost just before discovery can be reached, given up, the wait, and a connect that needs all its time. */
     @Test void theNextCallIsAnsweredWithinTheTerm() {
@@ -19,7 +21,7 @@
                 for (int i = 0; i < 20; i++) {
                     double wait = backoff.next();
                     assertTrue(wait >= first / 2, wait + " ms");
-                    assertTrue(GIVEN_UP + wait + CONNECT < AgentSource.TERM, wait + " ms");
+                    assertTrue(GIVEN_UP + wait + CONNECT + ANSWER < AgentSource.TERM, wait + " ms");
                 }
                 backoff.reset();
                 assertTrue(backoff.next() <= first);
