Decide: servers beyond the subset are known, and only the subset is walked

Need: choose, servers, onEdge and fault walk all listed servers, and each has a record of some hundred bytes. Change: records only for the servers of the subset and where attempts are out; a choice from a subset looks at 32 drawn and the 16 sent to last, at all only where none of these may; the subset doubles where little of it can be used or all are full, and narrows slowly; a keyed repeat that is bound to a zone or cell gets mates from outside where the subset has too few.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -3,6 +3,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.*;
+import willowyoke.subset.Subset;
 
 /** Every decision of one gateway. The same events give the same actions; all chance comes from one seed. */
 public final class Decide implements Gateway.Events {
@@ -57,6 +58,16 @@
     private static final double OPEN_EPOCH = 16 * SUBPERIOD;
     /** A retry that finds no server looks again after this (ms): a few of the shortest ticks. */
     private static final double LOOK_AGAIN = 25;
+    /** Servers drawn from a subset for a look (97%: one of the best tenth); the last sent to, which are connected. */
+    private static final int DRAWN = 32, NEAR = 16;
+    /** Mates brought in for a repeat that may go to its group only: each attempt of it finds another one. */
+    private static final int MATES = 8;
+    /** A subset doubles where less than the one part of its even size can be used, and narrows from the other on. */
+    private static final double SHORT = 5.0 / 8, ENOUGH = 7.0 / 8;
+    /** Where under a sixteenth can be used, or all in a fourfold subset are full, more servers are no help. */
+    private static final double SHORT_MOST = 16, FULL_MOST = 4;
+    /** A widened subset halves in 11 s of edges: longer than most troubles that widen one. */
+    private static final double NARROW = 1.0 / 64;
 
     // ---- state ----
 
@@ -70,7 +81,14 @@
     private final Map<String, Customer> customers = new HashMap<>();
     private final ArrayDeque<Customer> ring = new ArrayDeque<>();
     private final Map<Long, Req> requests = new HashMap<>();
-    private final Map<String, Host> hosts = new TreeMap<>();
+    private final Map<String, Host> hosts = new TreeMap<>(); // of the subset, and where attempts are out
+    private final Subset<Gateway.Server> subset;
+    private final Set<Host> leaving = new LinkedHashSet<>();
+    private final Host[] near = new Host[NEAR];
+    private List<Host> view = List.of(); // the hosts of the subset, by id
+    private int nearAt;
+    private boolean full;
+    private double width = 1;
     private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
@@ -185,7 +203,13 @@
     private record Timer(double at, long serial, Kind kind, Req req) { }
 
     public Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions) {
+        this(settings, seed, now, actions, Subset.SERVERS);
+    }
+
+    /** @param servers how many of a longer list a node holds on average at least */
+    public Decide(Gateway.Settings settings, long seed, double now, Gateway.Actions actions, int servers) {
         set = settings;
+        subset = new Subset<>(settings.me(), settings.nodes(), servers);
         act = actions;
         random = new Random(seed);
         this.now = now;
@@ -210,28 +234,17 @@
     @Override public void servers(double time, List<Gateway.Server> list, boolean whole) {
         begin(time);
         if (whole) {
-            for (Host h : hosts.values()) {
-                h.listed = false;
-                h.left = true;
-            }
+            subset.retain(new HashSet<>(list.stream().map(Gateway.Server::id).toList()));
         }
-        for (Gateway.Server s : list) {
-            Host h = hosts.computeIfAbsent(s.id(), Host::new);
-            h.listed = s.state() == Gateway.State.UP;
-            h.left = s.state() == Gateway.State.GONE;
-            boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
-            h.told = s;
-            if (s.startedAt() > 0 && s.startedAt() + set.rules().warmAfter() > now) {
-                cold(h, s.startedAt());
-            }
-            if (restarted) {
-                h.fails = h.ejectedUntil = h.ejections = 0;
-                h.slow = 1;
-                h.failing.clear();
+        for (Gateway.Server l : list) {
+            if (l.state() == Gateway.State.GONE) {
+                subset.remove(l.id());
+            } else {
+                subset.put(l.id(), l.state() == Gateway.State.UP, l, groups(l));
             }
         }
-        hosts.values().removeIf(h -> h.left && h.out.isEmpty()); // ids are ever new on a long day
-        up = (int) hosts.values().stream().filter(h -> h.listed).count();
+        move(list);
+        up = subset.up();
         if (edges < 4 && up > 0) { // at first two out at each server, of all gateways together
             paceRate = Math.max(paceRate, 2000.0 * up / set.nodes() / (meanAim / 8));
             paceCredit = Math.max(2, paceRate * SUBPERIOD / 1000);
@@ -239,6 +252,57 @@
         pump();
     }
 
+    /** What enters the subset is brought in; what leaves is forgotten once nothing is out there: ids are ever new. */
+    private void move(List<Gateway.Server> list) {
+        Subset.Moves<Gateway.Server> moves = subset.settle();
+        for (String id : moves.left()) {
+            hosts.get(id).left = true;
+            leaving.add(hosts.get(id));
+        }
+        list.stream().filter(l -> subset.whole() || hosts.containsKey(l.id())).forEach(this::told);
+        moves.entered().forEach(this::told);
+        leaving.forEach(h -> h.listed &= !h.left);
+        leaving.removeIf(h -> !h.left || h.out.isEmpty() && hosts.remove(h.id, h));
+        view = hosts.values().stream().filter(h -> !h.left).toList();
+    }
+
+    private void told(Gateway.Server s) {
+        Host h = hosts.computeIfAbsent(s.id(), Host::new);
+        h.left = !subset.holds(s.id());
+        h.listed = !h.left && s.state() == Gateway.State.UP;
+        if (h.left) {
+            leaving.add(h);
+        }
+        boolean restarted = h.told != null && s.startedAt() > h.told.startedAt();
+        h.told = s;
+        if (s.startedAt() > 0 && s.startedAt() + set.rules().warmAfter() > now) {
+            cold(h, s.startedAt());
+        }
+        if (restarted) {
+            h.fails = h.ejectedUntil = h.ejections = 0;
+            h.slow = 1;
+            h.failing.clear();
+        }
+    }
+
+    /** Wider at once where little of the subset can be used or had room, narrower slowly. */
+    private void adapt() {
+        if (subset.whole()) {
+            return;
+        }
+        double usable = view.stream().filter(h -> h.listed && now >= h.ejectedUntil).mapToDouble(this::warmth).sum();
+        if (usable < SHORT * subset.even()) {
+            width = Math.min(SHORT_MOST, 2 * width);
+        } else if (full) {
+            width = Math.max(width, Math.min(FULL_MOST, 2 * width));
+        } else if (usable > ENOUGH * subset.even()) {
+            width = Math.max(1, width * (1 - NARROW));
+        }
+        full = false;
+        subset.width(width);
+        move(List.of());
+    }
+
     @Override public void discoveryFailed(double time) {
         begin(time);
         if (set.mustAsk()) {
@@ -382,7 +446,7 @@
     }
 
     @Override public int avoided(double time) {
-        return (int) hosts.values().stream().filter(h -> h.listed && time < h.ejectedUntil).count();
+        return (int) view.stream().filter(h -> h.listed && time < h.ejectedUntil).count();
     }
 
     // ---- quota: credits, weights, re-split ----
@@ -408,7 +472,8 @@
 
     private void onEdge() {
         at(Kind.EDGE, nextEdge(), null);
-        long warm = hosts.values().stream().filter(h -> h.listed && warmth(h) >= 1).count();
+        adapt();
+        long warm = view.stream().filter(h -> h.listed && warmth(h) >= 1).count();
         warmRate += warm > 0 ? (sentInPeriod * 1000 / SUBPERIOD / warm - warmRate) * FAST : 0;
         sentInPeriod = 0;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
@@ -457,11 +522,11 @@
 
     /** A name on the counter, of a customer and an epoch. */
     private static long name(Customer c, long epoch) {
-        return mix(c.key + 2 * epoch) >>> 1;
+        return Subset.mix(c.key + 2 * epoch) >>> 1;
     }
 
     private static long slotName(Customer c, long epoch) {
-        return mix(c.key + 2 * epoch + 1) >>> 1;
+        return Subset.mix(c.key + 2 * epoch + 1) >>> 1;
     }
 
     /**
@@ -716,13 +781,53 @@
 
     // ---- server choice and health ----
 
-    /** The server with the least (requests out + 1) x slowness, of those that may get this request. */
+    /**
+     * The server with the least (requests out + 1) x slowness, of those that may get this request. Of a subset some
+     * are looked at, and all only where none of these may (the power of few choices, Mitzenmacher 2001).
+     */
     private Host choose(Req r) {
+        if (!subset.whole() && grouped(r.type.told) && !r.attempts.isEmpty()) {
+            bringMates(r);
+            return best(r, hosts.values());
+        }
+        Host best = null;
+        if (!subset.whole() && view.size() > DRAWN + NEAR) {
+            List<Host> some = new ArrayList<>(Arrays.asList(near));
+            random.ints(DRAWN, 0, view.size()).forEach(i -> some.add(view.get(i)));
+            best = best(r, some);
+        }
+        best = best == null ? best(r, view) : best;
+        full |= best == null;
+        return best;
+    }
+
+    /** Where a subset holds too few of a request's group, others are known until the next edge. */
+    private void bringMates(Req r) {
+        r.attempts.stream().map(a -> group(r.type.told, a.host.told)).distinct()
+            .flatMap(g -> subset.mates(g, MATES).stream()).filter(s -> !subset.holds(s.id())).toList().forEach(s -> {
+                told(s);
+                hosts.get(s.id()).listed = true;
+            });
+    }
+
+    private static boolean grouped(Gateway.RequestClass c) {
+        return c.effect() == Gateway.Effect.KEYED && c.group() != Gateway.Group.ALL;
+    }
+
+    private static Object group(Gateway.RequestClass c, Gateway.Server s) {
+        return c.group() == Gateway.Group.ZONE ? s.zone() : (Object) s.cell();
+    }
+
+    private Object[] groups(Gateway.Server s) {
+        return set.classes().stream().filter(Decide::grouped).map(c -> group(c, s)).distinct().toArray();
+    }
+
+    private Host best(Req r, Collection<Host> some) {
         Host best = null;
         double bestScore = 0;
         boolean keeps = set.allowed().keepAlive() > 0;
-        for (Host h : hosts.values()) {
-            if (!mayGet(r, h) || !room(h)) {
+        for (Host h : some) {
+            if (h == null || !mayGet(r, h) || !room(h)) {
                 continue;
             }
             double score = (h.out.size() + 1) * slowness(h); // a cold one has its budget, and that is spent
@@ -817,13 +922,13 @@
         h.slowAt = now;
     }
 
-    /** Ejects on evidence, for longer each time, and never more than half of the fleet. */
+    /** Ejects on evidence, for longer each time, and never more than half of the subset. */
     private void fault(Host h, double weight) {
         h.fails += weight;
         if (h.fails < 3 && !h.trial || now < h.ejectedUntil) {
             return;
         }
-        if (2 * hosts.values().stream().filter(o -> o.listed && now < o.ejectedUntil).count() + 2 <= up) {
+        if (2 * avoided(now) + 2 <= view.stream().filter(o -> o.listed).count()) {
             h.ejectedUntil = now + EJECT * Math.pow(2, h.ejections);
             h.ejections = Math.min(h.ejections + 1, EJECT_DOUBLINGS);
             h.trial = true;
@@ -840,6 +945,7 @@
         h.out.add(a);
         h.coldCredit -= 1;
         h.lastSent = now;
+        near[nearAt++ % NEAR] = h;
         sentInPeriod += warmth(h) >= 1 ? 1 : 0;
         paceCredit--;
         at(Kind.LATE, now + r.type.told.aim() / 2, r);
@@ -1004,10 +1110,4 @@
             }
         }
     }
-
-    private static long mix(long z) {
-        z = (z ^ (z >>> 30)) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ (z >>> 27)) * 0x94d049bb133111ebL;
-        return z ^ (z >>> 31);
-    }
 }
--- a/src/main/java/willowyoke/subset/Subset.java
+++ b/src/main/java/willowyoke/subset/Subset.java
@@ -3,17 +3,13 @@
 import java.util.*;
 
 /**
- * Which of all servers this node sends to: a deterministic subset. A pure core: the same calls give the same subset,
- * chance is a hash of names. Not safe for use by several threads.
+ * Which of all servers this node sends to: a deterministic subset (docs/design/subset.md). A pure core: chance is a
+ * hash of names. Not safe for use by several threads.
  *
  * <p>A server has a place on a circle by the hash of its id (consistent hashing, Karger et al. 1997), node number m one
  * at m times the golden ratio (Knuth vol. 3, 6.4: any run of numbers is spread evenly, and no node moves when another
- * comes). A node holds the servers on the arc that begins at its place; all arcs of a fleet are equally long, so that
- * all servers have about as many nodes, however hashes fall: what varies is how many servers a node holds (Poisson). A
- * server that comes or goes moves itself, and the ends of arcs by a part of a server. The order is kept for each zone
- * apart, and no zone is left with under a quarter of its even part.
- *
- * <p>Costs: a change is O(log n) for the server and O(zones + moved) for the ends of arcs, a whole list O(n log n).
+ * comes). A node holds the servers on the arc that begins at its place. All arcs of a fleet are equally long, so that
+ * all servers have about as many nodes, however hashes fall. A change costs O(log n + moved).
  *
  * @param <S> what is kept of a server that is not in the subset, to bring it in
  */
@@ -22,79 +18,70 @@
     public static final int SERVERS = 256;
     /** Nodes of a server at least: one with five times the mean traffic brings its servers half as much again. */
     static final int HOLDERS = 8;
-    /** Zones with an order of their own; what more there are share one, so that a change stays cheap on any list. */
-    private static final int ZONES = 64;
-    private static final String OTHERS = "";
     /** Mates looked through: draining ones stand in the way, but not for long. */
     private static final int LOOKED = 64;
     /** 2 to the 64th over the golden ratio, made odd. */
     private static final long GOLDEN = 0x9e3779b97f4a7c15L;
+    /** Offsets on the circle: from 0 to under this. */
+    static final long CIRCLE = 1L << 62;
 
     /** What entered and what left, each in the order in which it happened. */
     public record Moves<S>(List<S> entered, List<String> left) { }
 
-    private static final class Entry<S> {
-        final String id, zone;
+    private static final class Entry<S> implements Comparable<Entry<S>> {
+        final String id;
         final long offset;
-        final int cell;
-        Order<S> order;
+        final Object[] groups;
         S server;
-        boolean up, in, was;
+        boolean up;
 
-        Entry(String id, String zone, int cell, long offset) {
+        Entry(String id, long offset, Object... groups) {
             this.id = id;
-            this.zone = zone;
-            this.cell = cell;
             this.offset = offset;
+            this.groups = groups;
         }
-    }
 
-    /** Servers in the order in which this node's arc takes them in; the first ones are held. */
-    private static final class Order<S> {
-        final TreeSet<Entry<S>> all =
-            new TreeSet<>(Comparator.<Entry<S>>comparingLong(e -> e.offset).thenComparing(e -> e.id));
-        Entry<S> last;
-        int held;
+        @Override public int compareTo(Entry<S> o) {
+            return offset != o.offset ? Long.compare(offset, o.offset) : id.compareTo(o.id);
+        }
     }
 
     private final long place;
     private final double nodes, least;
-    private final boolean byCell;
     private final Map<String, Entry<S>> known = new HashMap<>();
-    private final Map<String, Order<S>> zones = new HashMap<>();
-    private final Map<Integer, Order<S>> cells = new HashMap<>();
+    private final TreeSet<Entry<S>> order = new TreeSet<>();
+    private final Map<Object, TreeSet<Entry<S>>> groups = new HashMap<>();
     private final Set<Entry<S>> changed = new LinkedHashSet<>();
+    private long arc = CIRCLE;
     private double width = 1;
     private int up;
 
     /**
      * @param me the number of this node in its fleet of so many
      * @param least servers that a node holds on average at least; more where a server would have under 8 nodes
-     * @param byCell whether {@link #mates(int, int)} will be asked for
      */
-    public Subset(int me, int nodes, int least, boolean byCell) {
+    public Subset(int me, int nodes, int least) {
         place = place(me);
         this.nodes = Math.max(1, nodes);
         this.least = Math.max(1, least);
-        this.byCell = byCell;
     }
 
-    /** A server is known, or has changed. */
-    public void put(String id, String zone, int cell, boolean isUp, S server) {
+    /**
+     * A server is known, or has changed.
+     *
+     * @param in groups that {@link #mates} will be asked for, null for none; how many is the same for all servers
+     */
+    public void put(String id, boolean isUp, S server, Object... in) {
         Entry<S> e = known.get(id);
-        if (e == null || e.cell != cell || !e.zone.equals(zone)) {
+        if (e == null || !Arrays.equals(e.groups, in)) {
             remove(id);
-            e = new Entry<>(id, zone, cell, hash(id) - place >>> 1);
+            e = new Entry<>(id, offset(id, place), in);
             known.put(id, e);
-            e.order = zones.computeIfAbsent(zones.size() < ZONES || zones.containsKey(zone) ? zone : OTHERS,
-                z -> new Order<>());
-            e.order.all.add(e);
-            if (byCell) {
-                cells.computeIfAbsent(cell, c -> new Order<>()).all.add(e);
-            }
-            if (e.order.last != null && e.order.all.comparator().compare(e, e.order.last) < 0) {
-                hold(e, true);
+            order.add(e);
+            for (Object group : in) {
+                groups.computeIfAbsent(group, g -> new TreeSet<>()).add(e);
             }
+            toggle(e);
         }
         up += (isUp ? 1 : 0) - (e.up ? 1 : 0);
         e.up = isUp;
@@ -104,18 +91,13 @@
     /** A server is gone; one that is not known does no harm. */
     public void remove(String id) {
         Entry<S> e = known.remove(id);
-        if (e == null) {
-            return;
-        }
-        up -= e.up ? 1 : 0;
-        e.order.all.remove(e);
-        e.order.last = e.order.last == e ? e.order.all.lower(e) : e.order.last;
-        if (e.in) {
-            hold(e, false);
-        }
-        zones.values().removeIf(z -> z == e.order && z.all.isEmpty());
-        if (byCell) {
-            cells.computeIfPresent(e.cell, (c, mates) -> mates.all.remove(e) && mates.all.isEmpty() ? null : mates);
+        if (e != null) {
+            up -= e.up ? 1 : 0;
+            order.remove(e);
+            for (Object group : e.groups) {
+                groups.computeIfPresent(group, (g, mates) -> mates.remove(e) && mates.isEmpty() ? null : mates);
+            }
+            toggle(e);
         }
     }
 
@@ -129,44 +111,30 @@
         width = Math.max(1, times);
     }
 
-    /** Moves the ends of the arcs to where they belong, and tells what has entered and left since the last call. */
+    /** Moves the end of the arc to where it belongs, and tells what has entered and left since the last call. */
     public Moves<S> settle() {
-        double share = Math.min(1, width * evenShare());
-        zones.values().forEach(z -> settle(z, share));
+        long end = (long) (Math.min(1, width * evenShare()) * CIRCLE);
+        long before = arc;
+        arc = Math.max(before, end); // what lies between the two is on it in one of both cases
+        order.subSet(new Entry<>("", Math.min(before, end)), new Entry<>("", arc)).forEach(this::toggle);
+        arc = end;
         Moves<S> moves = new Moves<>(new ArrayList<>(), new ArrayList<>());
         for (Entry<S> e : changed) {
-            if (e.in && !e.was) {
+            if (holds(e.id) && known.get(e.id) == e) {
                 moves.entered.add(e.server);
-            } else if (!e.in && e.was) {
+            } else {
                 moves.left.add(e.id);
             }
-            e.was = e.in;
         }
         changed.clear();
         return moves;
     }
 
-    private void settle(Order<S> z, double share) {
-        long arc = share >= 1 ? Long.MAX_VALUE : (long) (share * 0x1p63);
-        int few = share >= 1 ? z.all.size() : (int) (z.all.size() * share / 4);
-        while (z.held < z.all.size()) {
-            Entry<S> next = z.last == null ? z.all.first() : z.all.higher(z.last);
-            if (next.offset >= arc && z.held >= few) {
-                break;
-            }
-            z.last = next;
-            hold(next, true);
+    /** There and back since the last call is no change. */
+    private void toggle(Entry<S> e) {
+        if (e.offset < arc && !changed.remove(e)) {
+            changed.add(e);
         }
-        for (Entry<S> e = z.last; e != null && e.offset >= arc && z.held > few; e = z.last) {
-            z.last = z.all.lower(e);
-            hold(e, false);
-        }
-    }
-
-    private void hold(Entry<S> e, boolean in) {
-        e.in = in;
-        e.order.held += in ? 1 : -1;
-        changed.add(e);
     }
 
     private double evenShare() {
@@ -185,7 +153,7 @@
 
     public boolean holds(String id) {
         Entry<S> e = known.get(id);
-        return e != null && e.in;
+        return e != null && e.offset < arc;
     }
 
     /** All that are known and up, held or not. */
@@ -193,19 +161,10 @@
         return up;
     }
 
-    /** Servers of a zone that are up, the held ones first; so many at most. */
-    public List<S> mates(String zone, int most) {
-        return first(zones.getOrDefault(zone, zones.get(OTHERS)), most);
-    }
-
-    /** Servers of a cell that are up, in this node's order, so that nodes differ in whom they burden. */
-    public List<S> mates(int cell, int most) {
-        return first(cells.get(cell), most);
-    }
-
-    private List<S> first(Order<S> order, int most) {
-        return order == null ? List.of()
-            : order.all.stream().limit(LOOKED).filter(e -> e.up).limit(most).map(e -> e.server).toList();
+    /** Servers of a group that are up, so many at most: those held first, and nodes differ in whom they burden. */
+    public List<S> mates(Object group, int most) {
+        return groups.getOrDefault(group, new TreeSet<>()).stream().limit(LOOKED).filter(e -> e.up).limit(most)
+            .map(e -> e.server).toList();
     }
 
     /** Where on the circle a node's arc begins. */
@@ -213,14 +172,19 @@
         return me * GOLDEN;
     }
 
-    /** FNV-1a over the characters, then the finaliser of SplitMix64: ids that count up fall anywhere. */
-    static long hash(String id) {
+    /** How far behind a place a server lies; FNV-1a over the characters, as ids that count up may fall anywhere. */
+    static long offset(String id, long place) {
         long h = 0xcbf29ce484222325L;
         for (int i = 0; i < id.length(); i++) {
             h = (h ^ id.charAt(i)) * 0x100000001b3L;
         }
-        h = (h ^ h >>> 30) * 0xbf58476d1ce4e5b9L;
-        h = (h ^ h >>> 27) * 0x94d049bb133111ebL;
-        return h ^ h >>> 31;
+        return mix(h) - place >>> 2;
+    }
+
+    /** The finaliser of SplitMix64: every bit depends on all. */
+    public static long mix(long z) {
+        long a = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        long b = (a ^ a >>> 27) * 0x94d049bb133111ebL;
+        return b ^ b >>> 31;
     }
 }
