scale: a fleet of hollow edge nodes in virtual time, judged by counts, bounds and growth

Bytes are counted by the real forms (CounterClient.words, Resp, MembersJson); CounterClient's command is taken out as a function for that, without change.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -40,6 +40,7 @@
         usage: willowyoke COMMAND
           try                       one edge node and its world on loopback, for a first look; try --help
           rehearse [SCENARIO]       a day of edge nodes and their world in virtual time, judged; rehearse --help
+          scale                     a large fleet of hollow edge nodes in virtual time, judged; scale --help
           serve [--settings FILE]   one edge node, until SIGTERM; EDGE_CONFIG names the platform's configuration,
                                     FILE the operators' own settings (deploy/edge.toml shows them all)
           check-settings FILE       what serve would say of the settings in FILE; exit 2 where it would refuse them
@@ -65,7 +66,7 @@
             System.out.println(args[1] + ": good");
             return;
         }
-        if (args.length > 0 && (args[0].equals("try") || args[0].equals("rehearse"))) {
+        if (args.length > 0 && List.of("try", "rehearse", "scale").contains(args[0])) {
             System.exit(Kit.run(args));
         }
         if (args.length > 0 && args[0].equals("store")) {
--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -147,8 +147,7 @@
             return;
         }
         Call call = new Call(line, name, loop.now(), false);
-        long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
-        String[] words = {"CNT.ADD", Long.toString(name), plain(amount), Long.toString(life)};
+        String[] words = words(name, amount, keepFor);
         if (line.channel == null) {
             line.waiting.put(call, words); // a line that broke is back in about a round trip
         } else {
@@ -161,7 +160,14 @@
         }
     }
 
-    private static String plain(double amount) {
+    /** The command of an add: an amount in thousandths at the finest, a life of 1 to 60,000 ms. */
+    public static String[] words(long name, double amount, double keepFor) {
+        long life = (long) Math.max(1, Math.min(LONGEST_LIFE, keepFor));
+        return new String[] {"CNT.ADD", Long.toString(name), plain(amount), Long.toString(life)};
+    }
+
+    /** A number as the counter's protocol has it: decimal, thousandths at the finest. */
+    public static String plain(double amount) {
         return BigDecimal.valueOf(Math.rint(amount * 1000) / 1000).stripTrailingZeros().toPlainString();
     }
 
