--- a/src/main/java/willowyoke/kit/scale/Fleet.java
+++ b/src/main/java/willowyoke/kit/scale/Fleet.java
@@ -91,7 +91,8 @@
             all += weight[i];
         }
         Tenant[] made = new Tenant[count];
-        int group = Math.min(shape.detail(), Shape.GROUP);
+        // a customer of one node alone needs no counter: where one node is run the other one is not
+        int group = Math.max(Math.min(2, shape.nodes()), Math.min(shape.detail(), Shape.GROUP));
         for (int i = 0; i < count; i++) {
             double rate = shape.rate() * shape.part() * weight[i] / all;
             int spread = Math.min(group, Math.max(2, (int) Math.ceil(rate / Assumed.PER_NODE)));
--- a/src/main/java/willowyoke/kit/scale/HollowNode.java
+++ b/src/main/java/willowyoke/kit/scale/HollowNode.java
@@ -112,8 +112,10 @@
     void kill() {
         dead = true;
         discovery.unwatch(this);
-        for (Open o : open.values()) {
-            tally.lost += o.over ? 0 : 1;
+        for (Open o : open.values()) { // what should have been answered long ago did not die with it
+            boolean late = agenda.now() > o.deadline + settings.rules().answerGrace();
+            tally.unanswered += !o.over && late ? 1 : 0;
+            tally.lost += o.over || late ? 0 : 1;
         }
         open.clear();
     }
--- a/src/main/java/willowyoke/kit/scale/ScaleCommand.java
+++ b/src/main/java/willowyoke/kit/scale/ScaleCommand.java
@@ -37,8 +37,11 @@
     private Integer tenants;
     @Option(names = "--rate", paramLabel = "R", description = "requests a second of the whole fleet")
     private Double rate;
+    @Option(names = "--thin", paramLabel = "T", defaultValue = "1",
+        description = "divides the rate, 1 to 1000, where a request costs much; default ${DEFAULT-VALUE}")
+    private double thin;
     @Option(names = "--seconds", paramLabel = "S", defaultValue = "35",
-        description = "virtual seconds of arrivals, 15 to 3600; default ${DEFAULT-VALUE}")
+        description = "virtual seconds of arrivals, 5 to 3600; default ${DEFAULT-VALUE}")
     private int seconds;
     @Option(names = "--hours", paramLabel = "H", defaultValue = "1",
         description = "hours of the day's ordinary churn put into these seconds, 0 to 24; default ${DEFAULT-VALUE}")
@@ -89,7 +92,7 @@
 
     private Shape shape(int size) {
         check("--size", size, 1, 1000);
-        check("--seconds", seconds, 15, 3600);
+        check("--seconds", seconds, 5, 3600);
         check("--hours", hours, 0, 24);
         Shape t = Shape.target(size, seconds, flat, seed);
         int n = nodes == null ? t.nodes() : (int) check("--nodes", nodes, 1, 10_000);
@@ -97,6 +100,7 @@
         int of = services == null ? Math.min(t.services(), s) : (int) check("--services", services, 1, s);
         int c = tenants == null ? t.tenants() : (int) check("--tenants", tenants, 1, 10_000_000);
         double r = rate == null ? t.rate() : check("--rate", rate, 0.001, 1e8);
+        r /= check("--thin", thin, 1, 1000);
         int k = detail == null ? Shape.usualDetail(n, s, flat) : (int) check("--detail", detail, 1, n);
         return new Shape(n, s, of, c, r, seconds, hours, k, flat, !calm, seed);
     }
