scale: growth of requests not served is judged; at 5,500 nodes it is found

With the target's settings.nodes (5,500) 39% of the requests of a service's list were refused, with 550 5%, and all verdicts held: fewer sends are no growing cost. The share not served, 0.05 at least, is a cost now.

--- a/src/main/java/willowyoke/kit/scale/Verdicts.java
+++ b/src/main/java/willowyoke/kit/scale/Verdicts.java
@@ -26,6 +26,8 @@
     private static final int LISTS_OF_INCIDENTS = 8;
     /** Share of cold servers that may be sent more than the bound: it is two standard deviations above the mean. */
     static final double COLD_BEYOND = 0.05;
+    /** Up to this share not served is the customers' quotas and chance. */
+    static final double UNSERVED = 0.05;
     /** A cost grows with the fleet where it goes with its size to this power or more. */
     static final double FLAT = 0.15;
 
@@ -41,6 +43,8 @@
         new Cost("bytes a change told", false, r -> (double) r.tally().changeBytes
             / Math.max(1, r.tally().changesDue)),
         new Cost("sends a request", false, r -> (double) r.tally().sends / r.tally().arrived),
+        new Cost("requests not served", false, r -> Math.max(UNSERVED, 1 - (double) r.tally().served
+            / r.tally().arrived)),
         new Cost("entries listed", true, r -> r.tally().listEntries),
         new Cost("bytes of a whole list", true, r -> r.tally().listBytes),
         new Cost("changes told a node", true, r -> (double) r.tally().changes / r.shape().detail()),
--- a/src/test/java/willowyoke/kit/scale/ScaleTest.java
+++ b/src/test/java/willowyoke/kit/scale/ScaleTest.java
@@ -108,12 +108,14 @@
             Tally t = new Tally();
             t.arrived = 1000;
             t.counterCalls = nodes;
+            t.served = 1000 - nodes / 2;
             t.sends = Math.round(1000 * Math.pow(nodes, 0.1));
             t.listEntries = 40;
             runs.add(new Verdicts.Run(shape(nodes, 40 * nodes, false, 1), t, 0));
         }
         Map<String, Verdicts.Word> words = words(Verdicts.slopes(runs));
         assertEquals(Verdicts.Word.BROKEN, words.get("growth of counter calls a request"));
+        assertEquals(Verdicts.Word.BROKEN, words.get("growth of requests not served"));
         assertEquals(Verdicts.Word.HELD, words.get("growth of sends a request"));
         assertEquals(Verdicts.Word.HELD, words.get("growth of entries listed"));
     }
