--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -40,6 +40,7 @@
         usage: willowyoke COMMAND
           try                       one edge node and its world on loopback, for a first look; try --help
           rehearse [SCENARIO]       a day of edge nodes and their world in virtual time, judged; rehearse --help
+          slopes                    what one edge node costs against the size of what it holds; slopes --help
           serve [--settings FILE]   one edge node, until SIGTERM; EDGE_CONFIG names the platform's configuration,
                                     FILE the operators' own settings (deploy/edge.toml shows them all)
           check-settings FILE       what serve would say of the settings in FILE; exit 2 where it would refuse them
@@ -50,6 +51,9 @@
 
     private static final List<String> COMMANDS = List.of("--help", "serve", "check-settings", "drill", "prime");
 
+    /** Commands of the kit, which is loaded for these alone. */
+    private static final List<String> KIT = List.of("try", "rehearse", "slopes");
+
     private Main() { }
 
     /** Runs the command and exits non-zero with one plain line where the input is malformed. */
@@ -65,7 +69,7 @@
             System.out.println(args[1] + ": good");
             return;
         }
-        if (args.length > 0 && (args[0].equals("try") || args[0].equals("rehearse"))) {
+        if (args.length > 0 && KIT.contains(args[0])) {
             System.exit(Kit.run(args));
         }
         if (args.length > 0 && args[0].equals("store")) {
--- a/src/main/java/willowyoke/kit/Kit.java
+++ b/src/main/java/willowyoke/kit/Kit.java
@@ -4,6 +4,7 @@
 import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.util.Arrays;
 import picocli.CommandLine;
+import willowyoke.kit.slopes.SlopesCommand;
 
 /** The kit's commands. Loaded only where one of them is called: {@code serve} must not pay for them. */
 public final class Kit {
@@ -17,8 +18,11 @@
      */
     public static int run(String... args) {
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
-        return new CommandLine(args[0].equals("try") ? new TryCommand()
-            : new RehearseCommand()).setParameterExceptionHandler((bad, given) -> {
+        return new CommandLine(switch (args[0]) {
+            case "try" -> new TryCommand();
+            case "slopes" -> new SlopesCommand();
+            default -> new RehearseCommand();
+        }).setParameterExceptionHandler((bad, given) -> {
             System.err.println(args[0] + ": " + bad.getMessage() + "; " + args[0] + " --help tells what there is");
             return 2;
         }).execute(Arrays.copyOfRange(args, 1, args.length));
--- /dev/null
+++ b/src/main/java/willowyoke/kit/slopes/Wires.java
@@ -0,0 +1,328 @@
+package willowyoke.kit.slopes;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.IntStream;
+import willowyoke.Gateway;
+import willowyoke.config.Config;
+import willowyoke.config.ConfigFile;
+import willowyoke.loop.LoopThread;
+import willowyoke.membership.Entry;
+import willowyoke.membership.Limits;
+import willowyoke.net.counter.CounterClient;
+import willowyoke.net.discovery.Members;
+import willowyoke.net.discovery.MembersJson;
+import willowyoke.net.resp.Resp;
+import willowyoke.standin.Agent;
+import willowyoke.standin.Counter;
+
+/** What passes on the wire, in its real forms, and what it takes to read it; sockets on loopback. */
+final class Wires {
+    private static final int REPEATS = 3;
+    private static final double WARM = 18_000;
+    /** A list that has not been read after so long (s) will not be. */
+    private static final int START = 12;
+    private static final int QUIET_MS = 3000;
+    private static final int COUNTER_MS = 1500;
+    /** Calls that one node has out at a time. */
+    private static final int WINDOW = 16;
+    private static final int[] CLIENTS = {1, 10, 100};
+
+    private Wires() { }
+
+    // ---- forms ----
+
+    static void forms(Run run) throws InterruptedException {
+        int[] sizes = run.sizes().servers();
+        run.slope("a whole list", "B", "servers", sizes, n -> Meter.value(n, 1, () -> Cores.list(n, 1, true).length()));
+        run.slope("a watch's line, so many changes", "B", "changes", new int[] {1, 10, 100, 1000},
+            n -> Meter.value(n, 1, () -> chunk(Cores.list(n, 1_000_000, false))));
+        run.slope("calls of the counter", "B", "calls", new int[] {1, 10, 100, 1000},
+            n -> Meter.value(n, 1, () -> calls(n, false)));
+        run.slope("answers of the counter", "B", "answers", new int[] {1, 10, 100, 1000},
+            n -> Meter.value(n, 1, () -> calls(n, true)));
+    }
+
+    /** RFC 9112, 7.1. */
+    private static int chunk(String line) {
+        return Integer.toHexString(line.length()).length() + 2 + line.length() + 2;
+    }
+
+    /** Names are 63 bits, amounts small, totals those of some seconds at some requests a second. */
+    private static int calls(int n, boolean answers) {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        Resp.codec(channel.pipeline(), 4);
+        ByteBufAllocator alloc = channel.alloc();
+        int bytes = 0;
+        long name = 1;
+        for (int i = 0; i < n; i++) {
+            name = name * 6364136223846793005L + 1442695040888963407L; // Knuth's MMIX
+            channel.writeOutbound(answers ? Resp.bulk(alloc, Integer.toString(i % 900 + 100))
+                : Resp.command(alloc, "CNT.ADD", Long.toString(name >>> 1), Integer.toString(i % 9 + 1), "60000"));
+            for (ByteBuf out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+                bytes += out.readableBytes();
+                out.release();
+            }
+        }
+        channel.finishAndReleaseAll();
+        return bytes;
+    }
+
+    // ---- a start ----
+
+    static void start(Run run) throws InterruptedException {
+        run.slope("parsing a whole list", "us", "servers", run.sizes().servers(), n -> {
+            byte[] text = Cores.list(n, 1, true).getBytes(StandardCharsets.US_ASCII);
+            return run.meter().time(n, times -> {
+                for (int k = 0; k < times; k++) {
+                    if (parse(text) != n) {
+                        throw new IllegalStateException("entries are missing");
+                    }
+                }
+            });
+        });
+    }
+
+    private static int parse(byte[] text) {
+        try {
+            return MembersJson.read(text, text.length, bad -> { }).entries().size();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    // ---- discovery on loopback ----
+
+    private static final class Looked implements Members.View {
+        @Override public void listed(List<Entry> entries, boolean whole) { }
+
+        @Override public void discoveryFailed() { }
+
+        @Override public void discoveryRefuses() { }
+
+        @Override public void tryOut(String id) { }
+    }
+
+    /** One node at an agent, from its start through some seconds in which nothing changes. */
+    record Quiet(double startMs, double startCpuMs, double requests, double bytes, double cpuMs) { }
+
+    static void discovery(Run run) throws InterruptedException {
+        int[] sizes = run.sizes().servers();
+        List<List<Quiet>> all = new ArrayList<>();
+        run.slope("start: CPU until the list is known", "ms", "servers", sizes, n -> {
+            List<Quiet> of = new ArrayList<>();
+            for (int i = 0; i < REPEATS; i++) {
+                of.add(quiet(n));
+            }
+            all.add(of);
+            return each(n, of.stream().mapToDouble(Quiet::startCpuMs).toArray());
+        });
+        int[] read = IntStream.range(0, all.size()).toArray();
+        if (read.length == 0) {
+            return;
+        }
+        int[] at = Arrays.copyOf(sizes, read.length);
+        run.slope("quiet: requests to discovery a second", "1/s", "servers", at,
+            n -> each(n, of(all, at, n).stream().mapToDouble(Quiet::requests).toArray()));
+        run.slope("quiet: bytes of answers a second", "B/s", "servers", at,
+            n -> each(n, of(all, at, n).stream().mapToDouble(Quiet::bytes).toArray()));
+        run.slope("quiet: CPU of the loop a second", "ms/s", "servers", at,
+            n -> each(n, of(all, at, n).stream().mapToDouble(Quiet::cpuMs).toArray()));
+    }
+
+    private static Slope.Point each(int n, double[] values) {
+        return Meter.point(n, values);
+    }
+
+    private static List<Quiet> of(List<List<Quiet>> all, int[] at, int n) {
+        return all.get(IntStream.range(0, at.length).filter(i -> at[i] == n).findFirst().orElseThrow());
+    }
+
+    private static long thread(LoopThread loop) throws InterruptedException {
+        AtomicLong id = new AtomicLong();
+        CountDownLatch told = new CountDownLatch(1);
+        loop.later(() -> {
+            id.set(Thread.currentThread().getId());
+            told.countDown();
+        });
+        told.await();
+        return id.get();
+    }
+
+    private static double cpuMs(long thread) {
+        return ManagementFactory.getThreadMXBean().getThreadCpuTime(thread) / 1e6;
+    }
+
+    private static Quiet quiet(int n) throws IOException, InterruptedException {
+        List<Agent.Host> hosts = IntStream.range(0, n).mapToObj(Cores::host).toList();
+        LoopThread loop = LoopThread.real();
+        try (Agent agent = new Agent(1)) {
+            agent.restart(1, hosts);
+            long thread = thread(loop);
+            double from = cpuMs(thread);
+            long began = System.nanoTime();
+            String[] at = agent.address().split(":");
+            Members members = new Members(loop, new Looked(), Limits.defaults(WARM),
+                List.of(Members.agent(new InetSocketAddress(InetAddress.getByName(at[0]), Integer.parseInt(at[1])))),
+                1e9);
+            loop.later(() -> members.start(null));
+            try {
+                members.ready().get(START, TimeUnit.SECONDS);
+            } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException e) {
+                throw new IllegalStateException("the list of " + Cores.list(n, 1, true).length()
+                    + " B was never read, in " + START + " s", e);
+            }
+            double startMs = (System.nanoTime() - began) / 1e6;
+            double startCpu = cpuMs(thread) - from;
+            Thread.sleep(QUIET_MS / 3); // the first looks
+            long requests = agent.requests();
+            long bytes = agent.bytes();
+            from = cpuMs(thread);
+            began = System.nanoTime();
+            Thread.sleep(QUIET_MS);
+            double seconds = (System.nanoTime() - began) / 1e9;
+            return new Quiet(startMs, startCpu, (agent.requests() - requests) / seconds,
+                (agent.bytes() - bytes) / seconds, (cpuMs(thread) - from) / seconds);
+        } finally {
+            loop.group().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(1000);
+        }
+    }
+
+    // ---- the counter on loopback ----
+
+    private record Calls(double each, double client, double perSecond) { }
+
+    static void counter(Run run) throws InterruptedException {
+        List<Calls> all = new ArrayList<>();
+        run.slope("a call, the counter's thread", "us", "nodes, 4 connections each", CLIENTS, n -> {
+            Calls[] of = new Calls[REPEATS];
+            for (int i = 0; i < REPEATS; i++) {
+                of[i] = counted(n);
+                all.add(of[i]);
+            }
+            return Meter.point(n, Arrays.stream(of).mapToDouble(Calls::each).toArray());
+        });
+        run.slope("a call, the nodes' thread", "us", "nodes, 4 connections each", CLIENTS,
+            n -> Meter.point(n, after(all, n).stream().mapToDouble(Calls::client).toArray()));
+        run.slope("calls answered a second, one thread each", "1/s", "nodes, 4 connections each", CLIENTS,
+            n -> Meter.point(n, after(all, n).stream().mapToDouble(Calls::perSecond).toArray()));
+    }
+
+    private static List<Calls> after(List<Calls> all, int n) {
+        int i = Arrays.binarySearch(CLIENTS, n);
+        return all.subList(i * REPEATS, (i + 1) * REPEATS);
+    }
+
+    /** Nodes that each keep some calls out; the second half of the time counts. */
+    private static Calls counted(int nodes) throws InterruptedException {
+        LoopThread served = LoopThread.real();
+        LoopThread calling = LoopThread.real();
+        try {
+            AtomicLong answered = new AtomicLong();
+            Counter.Size endless = new Counter.Size(1e9, 1 << 20, 1 << 16);
+            Counter counter = new Counter(served, endless, (now, name, amount, sum) -> { })
+                .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            CounterClient[] clients = new CounterClient[nodes];
+            for (int i = 0; i < nodes; i++) {
+                int me = i;
+                clients[i] = new CounterClient(calling, (name, outcome, took, total) -> {
+                    answered.incrementAndGet();
+                    clients[me].add(name + nodes * (long) WINDOW * 997, 1, 60_000);
+                }, counter.address(), 5000);
+            }
+            calling.later(() -> {
+                for (CounterClient c : clients) {
+                    c.start();
+                }
+            });
+            for (CounterClient c : clients) {
+                c.ready().join();
+            }
+            calling.later(() -> {
+                for (int i = 0; i < nodes; i++) {
+                    for (int k = 0; k < WINDOW; k++) {
+                        clients[i].add((long) i * WINDOW + k, 1, 60_000);
+                    }
+                }
+            });
+            long a = thread(served);
+            long b = thread(calling);
+            Thread.sleep(COUNTER_MS);
+            double[] from = {cpuMs(a), cpuMs(b), answered.get(), System.nanoTime()};
+            Thread.sleep(COUNTER_MS);
+            double calls = answered.get() - from[2];
+            return new Calls((cpuMs(a) - from[0]) * 1000 / calls, (cpuMs(b) - from[1]) * 1000 / calls,
+                calls / ((System.nanoTime() - from[3]) / 1e9));
+        } finally {
+            calling.group().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(1000);
+            served.group().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(1000);
+        }
+    }
+
+    // ---- configuration ----
+
+    static void configuration(Run run) throws InterruptedException {
+        int[] sizes = run.sizes().plans();
+        run.slope("the file", "B", "plans", sizes,
+            n -> Meter.value(n, 1, () -> configuration(n).getBytes(StandardCharsets.UTF_8).length));
+        run.slope("reading it at SIGHUP", "us", "plans", sizes, n -> {
+            Path file = Files.writeString(Files.createTempFile("slopes", ".json"), configuration(n));
+            try {
+                int[] taken = new int[1];
+                ConfigFile config = new ConfigFile(Map.of("EDGE_CONFIG", file.toString()),
+                    c -> taken[0] = c.settings().plans().size(), line -> { });
+                Slope.Point p = run.meter().time(n, times -> {
+                    for (int k = 0; k < times; k++) {
+                        config.read();
+                    }
+                });
+                if (taken[0] != n) {
+                    throw new IllegalStateException("it was not taken: " + taken[0] + " plans");
+                }
+                return p;
+            } finally {
+                Files.delete(file);
+            }
+        });
+        run.slope("heap of the settings read", "B", "plans", sizes, n -> {
+            byte[] text = configuration(n).getBytes(StandardCharsets.UTF_8);
+            return Meter.heap(n, () -> text, Wires::settings);
+        });
+    }
+
+    private static Gateway.Settings settings(byte[] text) {
+        try {
+            return Config.again(text, Map.of()).settings();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** A plan is the only thing of a configuration that may come in numbers: routes have no form yet. */
+    static String configuration(int plans) {
+        StringBuilder all = new StringBuilder("""
+            {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","counter":"127.0.0.1:2","seed":"1",
+             "limits":{"sockets":1024},"settings":{"rank":0,"group_size":5500,"tick":2,
+             "request_classes":[{"name":"read","effect":"read_like","aim":600,"hard_limit":2000}],"tariffs":[""");
+        for (int i = 0; i < plans; i++) {
+            all.append(i > 0 ? "," : "").append("{\"name\":\"t-").append(Integer.toHexString(0x1000000 + i))
+                .append("\",\"per_second\":8,\"depth\":16,\"price\":1,\"extra_worth\":0.2,\"over_cost\":0.5}\n");
+        }
+        return all.append("]}}\n").toString();
+    }
+}
