--- a/src/main/java/willowyoke/kit/slopes/Cores.java
+++ b/src/main/java/willowyoke/kit/slopes/Cores.java
@@ -189,7 +189,7 @@
 
     private static Membership told(List<Entry> all) {
         Membership core = new Membership(Limits.defaults(WARM), "a");
-        core.told(1e6, "a", 1, true, all);
+        core.told(Instance.START, "a", 1, true, all);
         return core;
     }
 
@@ -203,7 +203,7 @@
                 @Override public void run(int times) {
                     for (int k = 0; k < times; k++) {
                         int at = (int) (seq / 2 % n);
-                        core.told(1e6 + 200 * seq, "a", ++seq, false,
+                        core.told(Instance.START + 200 * seq, "a", ++seq, false,
                             List.of(entry(at, seq % 2 == 0 ? Gateway.State.DRAINING : Gateway.State.UP)));
                     }
                 }
@@ -219,7 +219,7 @@
                     for (int k = 0; k < times; k++) {
                         int at = (int) (seq / 2 % n);
                         all.set(at, entry(at, seq % 2 == 1 ? Gateway.State.DRAINING : Gateway.State.UP));
-                        core.told(1e6 + 200 * seq, "a", ++seq, true, all);
+                        core.told(Instance.START + 200 * seq, "a", ++seq, true, all);
                     }
                 }
             });
@@ -257,8 +257,8 @@
             }
 
             @Override public void run(int times) {
-                module.servers(core.told(1e6 + 1, "a", 2, false, gone).entries().stream().map(Entry::server).toList(),
-                    false);
+                List<Entry> changes = core.told(Instance.START + 1, "a", 2, false, gone).entries();
+                module.servers(changes.stream().map(Entry::server).toList(), false);
             }
 
             @Override public int most() {
--- a/src/main/java/willowyoke/kit/slopes/Fleet.java
+++ b/src/main/java/willowyoke/kit/slopes/Fleet.java
@@ -49,7 +49,7 @@
     private final Map<Long, Double> sums = new HashMap<>();
     private final Gateway.Events[] modules;
     private final Random random;
-    private double now = 1e6;
+    private double now = Instance.START;
     private final double measuredFrom;
     private long serial;
     private long ids;
--- a/src/main/java/willowyoke/kit/slopes/Instance.java
+++ b/src/main/java/willowyoke/kit/slopes/Instance.java
@@ -13,6 +13,8 @@
  * can be measured side by side. The counter answers at once, or never.
  */
 final class Instance implements Gateway.Actions {
+    /** Unix time (ms), as a real clock gives it: what was never seen is as old as that. */
+    static final double START = 1_700_000_000_000.0;
     static final double EDGE = 250;
     private static final double TOOK = 20;
     private static final int STARTS = 24;
@@ -24,7 +26,7 @@
     private final Map<Long, Double> sums = new HashMap<>();
     private final ArrayDeque<Call> calls = new ArrayDeque<>();
     private final ArrayDeque<Long> out = new ArrayDeque<>();
-    private double now = 1e6;
+    private double now = START;
     private long id;
     private long counted;
     private long sent;
--- a/src/main/java/willowyoke/kit/slopes/Wires.java
+++ b/src/main/java/willowyoke/kit/slopes/Wires.java
@@ -41,6 +41,8 @@
     private static final int COUNTER_MS = 1500;
     /** Calls that one node has out at a time. */
     private static final int WINDOW = 16;
+    /** Calls a second, so many that no time lies between two: with less the stand-in sets a timer for each. */
+    private static final double UNBOUNDED = 1e300;
     private static final int[] CLIENTS = {1, 10, 100};
 
     private Wires() { }
@@ -234,7 +236,7 @@
         LoopThread calling = LoopThread.real();
         try {
             AtomicLong answered = new AtomicLong();
-            Counter.Size endless = new Counter.Size(1e9, 1 << 20, 1 << 16);
+            Counter.Size endless = new Counter.Size(UNBOUNDED, 1 << 20, 1 << 16);
             Counter counter = new Counter(served, endless, (now, name, amount, sum) -> { })
                 .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             CounterClient[] clients = new CounterClient[nodes];
