--- a/src/main/java/willowyoke/kit/slopes/Meter.java
+++ b/src/main/java/willowyoke/kit/slopes/Meter.java
@@ -121,7 +121,8 @@
         return point(size, all);
     }
 
-    private static long used() {
+    /** Bytes on the heap after the collector's work. */
+    static long used() {
         MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
         for (int i = 0; i < COLLECTIONS; i++) {
             memory.gc();
--- a/src/main/java/willowyoke/kit/slopes/SlopesCommand.java
+++ b/src/main/java/willowyoke/kit/slopes/SlopesCommand.java
@@ -74,6 +74,7 @@
         all.put("calls", Fleet::counter);
         all.put("counter", Wires::counter);
         all.put("cut", Fleet::cutOff);
+        all.put("front", Wires::front);
         all.put("configuration", Wires::configuration);
         return all;
     }
--- a/src/main/java/willowyoke/kit/slopes/Wires.java
+++ b/src/main/java/willowyoke/kit/slopes/Wires.java
@@ -3,10 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.redis.ArrayRedisMessage;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +28,7 @@
 import willowyoke.loop.LoopThread;
 import willowyoke.membership.Entry;
 import willowyoke.membership.Limits;
+import willowyoke.net.client.ClientListener;
 import willowyoke.net.counter.CounterClient;
 import willowyoke.net.discovery.Members;
 import willowyoke.net.discovery.MembersJson;
@@ -43,6 +48,8 @@
     private static final int WINDOW = 16;
     /** Calls a second, so many that no time lies between two: with less the stand-in sets a timer for each. */
     private static final double UNBOUNDED = 1e300;
+    private static final int[] FRONT = {50, 200, 800};
+    private static final int PINGS = 4000;
     private static final int[] CLIENTS = {1, 10, 100};
 
     private Wires() { }
@@ -276,6 +283,76 @@
         }
     }
 
+    // ---- clients' front on loopback ----
+
+    /** Takes nothing: only PINGs come. */
+    private static final class Refusing implements ClientListener.Requests {
+        @Override public String take(ClientListener.Slot slot, ArrayRedisMessage command, boolean crowded) {
+            return "not here";
+        }
+
+        @Override public boolean full() {
+            return false;
+        }
+    }
+
+    static void front(Run run) throws InterruptedException {
+        List<Double> heaps = new ArrayList<>();
+        run.slope("a PING, the node's thread", "us", "connections", FRONT, n -> {
+            double[] each = new double[REPEATS + 1];
+            for (int i = 0; i < each.length; i++) { // the first one warms up
+                each[i] = pings(n, heaps);
+            }
+            return Meter.point(n, Arrays.copyOfRange(each, 1, each.length));
+        });
+        run.slope("heap, with the peer's socket", "B", "connections", FRONT, n -> {
+            int at = Arrays.binarySearch(FRONT, n) * (REPEATS + 1);
+            return Meter.point(n, heaps.subList(at + 1, at + 1 + REPEATS).stream().mapToDouble(d -> d).toArray());
+        });
+    }
+
+    /** Each connection asks in turn; the second half of the rounds counts. */
+    private static double pings(int connections, List<Double> heaps) throws IOException, InterruptedException {
+        LoopThread loop = LoopThread.real();
+        List<SocketChannel> open = new ArrayList<>();
+        try {
+            ClientListener clients = new ClientListener(loop, new Refusing(), 2 * connections, false);
+            SocketAddress at = clients.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)).sync().channel()
+                .localAddress();
+            long thread = thread(loop);
+            long before = Meter.used();
+            for (int i = 0; i < connections; i++) {
+                open.add(SocketChannel.open(at));
+                ping(open.get(i));
+            }
+            heaps.add((double) (Meter.used() - before));
+            double from = 0;
+            int rounds = 2 * Math.max(1, PINGS / connections);
+            for (int r = 0; r < rounds; r++) {
+                from = r == rounds / 2 ? cpuMs(thread) : from;
+                for (SocketChannel c : open) {
+                    ping(c);
+                }
+            }
+            return (cpuMs(thread) - from) * 1000 / (rounds - rounds / 2) / connections;
+        } finally {
+            for (SocketChannel c : open) {
+                c.close();
+            }
+            loop.group().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).awaitUninterruptibly(1000);
+        }
+    }
+
+    private static void ping(SocketChannel c) throws IOException {
+        c.write(ByteBuffer.wrap("*1\r\n$4\r\nPING\r\n".getBytes(StandardCharsets.US_ASCII)));
+        ByteBuffer in = ByteBuffer.allocate("+PONG\r\n".length());
+        while (in.hasRemaining()) {
+            if (c.read(in) < 0) {
+                throw new IOException("the node has closed");
+            }
+        }
+    }
+
     // ---- configuration ----
 
     static void configuration(Run run) throws InterruptedException {
