--- a/src/main/java/willowyoke/kit/slopes/Wires.java
+++ b/src/main/java/willowyoke/kit/slopes/Wires.java
@@ -222,8 +222,8 @@
             Calls[] of = new Calls[REPEATS];
             for (int i = 0; i < REPEATS; i++) {
                 of[i] = counted(n);
-                all.add(of[i]);
             }
+            all.addAll(List.of(of));
             return Meter.point(n, Arrays.stream(of).mapToDouble(Calls::each).toArray());
         });
         run.slope("a call, the nodes' thread", "us", "nodes, 4 connections each", CLIENTS,
@@ -234,6 +234,9 @@
 
     private static List<Calls> after(List<Calls> all, int n) {
         int i = Arrays.binarySearch(CLIENTS, n);
+        if (all.size() < (i + 1) * REPEATS) {
+            throw new IllegalStateException("see the counter's thread");
+        }
         return all.subList(i * REPEATS, (i + 1) * REPEATS);
     }
 
@@ -243,6 +246,7 @@
         LoopThread calling = LoopThread.real();
         try {
             AtomicLong answered = new AtomicLong();
+            AtomicLong failed = new AtomicLong();
             Counter.Size endless = new Counter.Size(UNBOUNDED, 1 << 20, 1 << 16);
             Counter counter = new Counter(served, endless, (now, name, amount, sum) -> { })
                 .start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
@@ -250,7 +254,11 @@
             for (int i = 0; i < nodes; i++) {
                 int me = i;
                 clients[i] = new CounterClient(calling, (name, outcome, took, total) -> {
-                    answered.incrementAndGet();
+                    if (outcome == Gateway.Outcome.OK) { // others end at once, and would count as very quick ones
+                        answered.incrementAndGet();
+                    } else {
+                        failed.incrementAndGet();
+                    }
                     clients[me].add(name + nodes * (long) WINDOW * 997, 1, 60_000);
                 }, counter.address(), 5000);
             }
@@ -275,6 +283,9 @@
             double[] from = {cpuMs(a), cpuMs(b), answered.get(), System.nanoTime()};
             Thread.sleep(COUNTER_MS);
             double calls = answered.get() - from[2];
+            if (calls == 0 || failed.get() > 0) {
+                throw new IllegalStateException(failed.get() + " calls failed, " + (long) calls + " were answered");
+            }
             return new Calls((cpuMs(a) - from[0]) * 1000 / calls, (cpuMs(b) - from[1]) * 1000 / calls,
                 calls / ((System.nanoTime() - from[3]) / 1e9));
         } finally {
