--- a/src/main/java/willowyoke/kit/Kit.java
+++ b/src/main/java/willowyoke/kit/Kit.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import picocli.CommandLine;
 import willowyoke.kit.scale.ScaleCommand;
+import willowyoke.kit.slopes.SlopesCommand;
 
 /** The kit's commands. Loaded only where one of them is called: {@code serve} must not pay for them. */
 public final class Kit {
@@ -21,6 +22,7 @@
         Object command = switch (args[0]) {
             case "try" -> new TryCommand();
             case "scale" -> new ScaleCommand();
+            case "slopes" -> new SlopesCommand();
             default -> new RehearseCommand();
         };
         return new CommandLine(command).setParameterExceptionHandler((bad, given) -> {
--- a/src/test/java/willowyoke/subset/SubsetProperties.java
+++ b/src/test/java/willowyoke/subset/SubsetProperties.java
@@ -68,7 +68,8 @@
     }
 
     /** 1, 2: any events, names told twice, unknown ones, other zones, lists that go back or are empty. */
-    @Property(tries = 300, seed = "1") void isWhatTheDefinitionSays(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
+    @Property(tries = 300, seed = "1")
+    void isWhatTheDefinitionSays(@ForAll @LongRange(min = 0, max = 1L << 40) long seed) {
         Random random = new Random(seed);
         int nodes = 1 + random.nextInt(random.nextBoolean() ? 12 : 300);
         int least = 1 + random.nextInt(20);
