--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -15,6 +15,7 @@
     int me;
     long seed = 7;
     int nodes = 2;
+    int bound; // 0: the default
     private double otherUnits;
     private double othersAt;
     double now;
@@ -49,7 +50,8 @@
     }
 
     Bench start() {
-        module = new Decide(settings(), seed, now, this);
+        module = bound == 0 ? new Decide(settings(), seed, now, this)
+            : new Decide(settings(), seed, now, this, bound);
         return this;
     }
 
@@ -150,7 +152,8 @@
     }
 
     @Override public void timer(double delay, long token) {
-        timers.add(new double[] {now + delay, token});
+        // a nanosecond late, as no timer is early: rounding down left the clock standing for ever
+        timers.add(new double[] {now + delay + 1e-6, token});
     }
 
     @Override public void probe(String server) {
