Settings: subset.servers, how many servers of a longer list a node holds

Need: where nodes' traffic is uneven, or connections are scarce, 256 may be the wrong number. 64 at least: of three equal zones each is 21 servers, give or take 4.6.

--- a/src/main/java/willowyoke/Main.java
+++ b/src/main/java/willowyoke/Main.java
@@ -144,7 +144,9 @@
         }
         StartLog.ended("configuration");
         EdgeSettings own = settings == null ? null : settings(settings, config.settings().rules().warmAfter());
-        Node node = new Node(config, Decide::new, own, LoopThread.real());
+        Node.Maker maker = own == null ? Decide::new
+            : (told, seed, now, actions) -> new Decide(told, seed, now, actions, own.subset());
+        Node node = new Node(config, maker, own, LoopThread.real());
         try {
             node.answerOperators();
         } catch (IOException bad) {
--- a/src/main/java/willowyoke/config/EdgeSettings.java
+++ b/src/main/java/willowyoke/config/EdgeSettings.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import willowyoke.membership.Limits;
 import willowyoke.repeats.Bounds;
+import willowyoke.subset.Subset;
 
 /**
  * The operators' own settings: one TOML file, read only where {@code serve --settings FILE} names it. What it does
@@ -15,11 +16,12 @@
  * @param failOver how long a source may say nothing before the next one takes over (ms)
  * @param limits how {@link willowyoke.membership.Membership} weighs what it is told
  * @param repeats how much is remembered of idempotency keys, or null where repeats are not recognised
+ * @param subset how many servers of a longer list a node holds on average at least
  * @param store the folder in which what must outlive the process is kept, or null
  * @param campuses of how many campuses the figures are kept apart; 0: of none
  */
 public record EdgeSettings(List<String> sources, double failOver, Consul consul, Eds eds, DnsSrv dnsSrv,
-    Limits limits, Bounds repeats, int campuses, Path store) {
+    Limits limits, Bounds repeats, int campuses, int subset, Path store) {
     /** This platform's agent, as the configuration names it. */
     public static final String AGENT = "agent";
     public static final String CONSUL = "consul";
@@ -127,6 +129,7 @@
         }
         Bounds repeats = repeats(in);
         int campuses = (int) in.whole("figures.campuses", 0, 0, 10_000);
+        int subset = (int) in.whole("subset.servers", Subset.SERVERS, 64, 1_000_000);
         Path store = path(in.text("store.folder", null, "a folder's path"));
         if (store != null && (store.toAbsolutePath().getParent() == null
             || !Files.isWritable(Files.isDirectory(store) ? store : store.toAbsolutePath().getParent()))) {
@@ -141,7 +144,7 @@
         }
         return new EdgeSettings(sources, failOver, consul, eds, dns, new Limits(upAfter, upMost, d.flapWindow(), shrink,
             holdShrunk, holdEmpty, d.answers(), d.doubt(), d.overlay(), old, warm, d.refusals(), d.timeouts()),
-            repeats, campuses, store);
+            repeats, campuses, subset, store);
     }
 
     private static Bounds repeats(TomlReader in) {
--- a/src/test/java/willowyoke/config/EdgeSettingsTest.java
+++ b/src/test/java/willowyoke/config/EdgeSettingsTest.java
@@ -31,6 +31,8 @@
         assertEquals(List.of("agent"), none.sources());
         assertNull(none.repeats());
         assertEquals(0, none.campuses());
+        assertEquals(256, none.subset());
+        assertEquals(64, read("subset.servers = 64").subset());
     }
 
     /** The documented sample is good as it is, and with every key on. */
@@ -56,7 +58,8 @@
             "f.toml:2: repeats.enabled: found 'yes', allowed is true or false",
             "f.toml:3: repeats.entries: found 0, allowed is a whole number from 1 to 1000000",
             "f.toml:4: repeats.when_full: found 'drop', allowed is one of forget, refuse",
-            "f.toml:6: figures.campuses: found -1, allowed is a whole number from 0 to 10000"),
+            "f.toml:6: figures.campuses: found -1, allowed is a whole number from 0 to 10000",
+            "f.toml:8: subset.servers: found 63, allowed is a whole number from 64 to 1000000"),
             refused("""
                 [repeats]
                 enabled = "yes"
@@ -64,6 +67,8 @@
                 when_full = "drop"
                 [figures]
                 campuses = -1
+                [subset]
+                servers = 63
                 """));
     }
 
