--- a/src/main/java/willowyoke/kit/scale/ScaleReport.java
+++ b/src/main/java/willowyoke/kit/scale/ScaleReport.java
@@ -61,8 +61,12 @@
         add(all, "bytes a change told", (double) t.changeBytes / Math.max(1, t.changesDue), "B");
         add(all, "whole lists a node", (double) t.wholeLists / s.detail(), "");
         all.add(new Line("bytes of a whole list", t.listBytes, "B", Kind.MEASURED, LONGEST));
-        all.add(new Line("control bytes a node and second, with incidents", told / seconds, "B/s", Kind.MEASURED,
-            BYTES));
+        all.add(new Line("control bytes a node and second, churn pressed together", told / seconds, "B/s",
+            Kind.MEASURED, BYTES));
+        if (s.hours() > 0) { // so that the churn of hours is not held against a budget of each second
+            all.add(new Line("the same at the day's own pace", (t.counterBytes + t.beatBytes) / seconds
+                + (t.wholeBytes + t.changeBytes) / (s.hours() * 3600 * s.detail()), "B/s", Kind.COMPUTED, BYTES));
+        }
         if (t.listBytes <= LOOKED) {
             all.add(new Line("looks at the agent on the node's own machine", LOOKS * t.listBytes, "B/s", Kind.COMPUTED,
                 Double.NaN));
