--- a/src/test/java/willowyoke/SubsetChoiceTest.java
+++ b/src/test/java/willowyoke/SubsetChoiceTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import willowyoke.subset.Subset;
 
 /** The choice where a node holds a part of the servers; the numbers are those of docs/design/subset.md. */
 class SubsetChoiceTest {
@@ -155,4 +156,50 @@
         both.retainAll(serve(one, 1000, 200, 5));
         assertTrue(both.size() < 20, "a twelfth in common by chance: " + both.size());
     }
+
+    /** 13: a cold server gets what its holders' parts sum to, not that of all nodes. */
+    @Test void theHoldersOfAColdServerShareItsRamp() {
+        int holders = 0;
+        int cold = 0;
+        int sent = 0;
+        for (int m = 0; m < 100; m++) {
+            Bench b = Bench.plain();
+            b.nodes = 100;
+            b.me = m;
+            b.seed = m;
+            b.keepAlive = 15_000;
+            b.start();
+            b.now = 10_000;
+            b.servers(4000);
+            if (!holds(m)) {
+                continue;
+            }
+            holders++;
+            for (int i = 0; i < 3000; i++) { // 500 a second at each
+                if (i == 1000) {
+                    b.module.servers(b.now, List.of(Bench.server(0, Gateway.State.UP, b.now - 100)), false);
+                }
+                b.to(b.now + 2);
+                b.arrive(i, "read", "big", "c");
+                b.module.ended(b.now, i, 0, Gateway.Outcome.OK, 75, true, 0, new double[0]);
+                if (i == 999) {
+                    b.log.clear();
+                }
+            }
+            cold += b.log.stream().filter(l -> l.startsWith("send") && l.endsWith(" s0")).count();
+            sent += b.count("send");
+        }
+        assertTrue(holders >= 5 && holders <= 11, "holders " + holders);
+        double warm = sent / 320.0;
+        assertTrue(cold > 0 && cold <= 0.6 * warm, "cold " + cold + ", a warm one " + warm);
+    }
+
+    private static boolean holds(int me) {
+        Subset<String> subset = new Subset<>(me, 100, 256);
+        for (int i = 0; i < 4000; i++) {
+            subset.put("s" + i, true, "s" + i);
+        }
+        subset.settle();
+        return subset.holds("s0");
+    }
 }
