Tests: a subset that is short widens before anybody asks

The test passed without the rule for few servers: its first request found no room, which widens too.

--- a/src/test/java/willowyoke/SubsetChoiceTest.java
+++ b/src/test/java/willowyoke/SubsetChoiceTest.java
@@ -105,11 +105,8 @@
             drained.add(Bench.server(Integer.parseInt(((String) id.get(h)).substring(1)), Gateway.State.DRAINING, 0));
         }
         b.module.servers(b.now, drained, false);
-        assertEquals(0, serve(b, 0, 1, 1).size());
-        b.to(260);
-        b.end(0, 0, Gateway.Outcome.OK);
-        b.to(750);
-        assertEquals(1, b.count("send 0"), "held until the next edge");
+        b.to(300);
+        assertTrue(records(b) > 500, "before anybody asked: " + records(b));
         assertTrue(serve(b, 1, 100, 5).size() > 20);
         assertTrue(records(b) > 500, "twice or four times as wide: " + records(b));
         drained.replaceAll(s -> Bench.server(Integer.parseInt(s.id().substring(1)), Gateway.State.UP, 0));
