A counter line is back at once at its first break, and apart only while nothing answers

Line at fault: CounterClient.Line.again. Change: the first break since an answer connects at once as before, the next ones wait 0.1 s, doubled to 1.6 s. Measured: SpoiltTest, StandstillTest and CrossingsTest passed.

--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -41,7 +41,7 @@
     /** A line that owes an answer for longer (ms) may be dead: what is lost with it has been told. */
     private static final double DEAD = 400;
     private static final int CONNECT = 1500;
-    /** Two connects of one line are this far apart (ms) at least; twice as far each time that nothing is answered. */
+    /** Connects of a line on which nothing was answered are this far apart (ms), twice as far each time. */
     private static final double RECONNECT = 100;
     private static final int RECONNECT_DOUBLINGS = 4;
     private static final int MOST_ELEMENTS = 4;
@@ -291,9 +291,9 @@
             });
         }
 
-        /** At once where the line was of use for a while; else a counter with no place left hears nothing else. */
+        /** At once at the first break since an answer; a counter with no place left would hear nothing else. */
         private void again() {
-            double apart = RECONNECT * (1 << Math.min(Math.max(0, unanswered - 1), RECONNECT_DOUBLINGS));
+            double apart = unanswered < 2 ? 0 : RECONNECT * (1 << Math.min(unanswered - 2, RECONNECT_DOUBLINGS));
             double wait = connectedAt + apart - loop.now();
             if (wait > 0) {
                 loop.after(wait, this::connect);
