Decide: an edge is never its own next, which no begin came back from

Checked: nextEdge computes that instant again where (now - phase) / 250 rounds to just under a whole number; begin then takes the same timer for ever. Lines at fault: Decide.nextEdge. Change: an edge that is not behind now is one later. Test: RulesTest.anEdgeIsNotItsOwnNext; without the mend it ends by its time (30 s, seen). RulesTest and ColdFleetTest passed.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -455,7 +455,8 @@
     /** The next edge here: gateways spread theirs over the subperiod, or the counter gets all at once. */
     private double nextEdge() {
         double phase = SUBPERIOD * set.me() / set.nodes();
-        return (Math.floor((now - phase) / SUBPERIOD) + 1) * SUBPERIOD + phase;
+        double next = (Math.floor((now - phase) / SUBPERIOD) + 1) * SUBPERIOD + phase;
+        return next > now ? next : next + SUBPERIOD; // by rounding it may be this very instant: that would never end
     }
 
     private boolean alone(Customer c) {
--- a/src/test/java/willowyoke/Bench.java
+++ b/src/test/java/willowyoke/Bench.java
@@ -16,6 +16,8 @@
     long seed = 7;
     int nodes = 2;
     int bound; // 0: the default
+    /** The module's last wish (ms from then). */
+    double delay;
     private double otherUnits;
     private double othersAt;
     double now;
@@ -152,6 +154,7 @@
     }
 
     @Override public void timer(double delay, long token) {
+        this.delay = delay;
         // a nanosecond late, as no timer is early: rounding down left the clock standing for ever
         timers.add(new double[] {now + delay + 1e-6, token});
     }
--- a/src/test/java/willowyoke/RulesTest.java
+++ b/src/test/java/willowyoke/RulesTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -285,6 +287,26 @@
         }
     }
 
+    /** A timer that fires on the very instant of an edge: by rounding that named itself as the next one, for ever. */
+    @Test void anEdgeIsNotItsOwnNext() {
+        assertTimeoutPreemptively(Duration.ofSeconds(30), () -> {
+            for (int nodes : new int[] {1, 2, 3, 7, 20, 30, 100}) {
+                for (int me = 0; me < nodes; me++) {
+                    Bench b = Bench.plain();
+                    b.nodes = nodes;
+                    b.me = me;
+                    b.start();
+                    for (int edges = 0; edges < 200; edges++) {
+                        b.now += b.delay;
+                        b.module.timer(b.now, 0);
+                        assertTrue(b.delay > 0, "no time to the next");
+                    }
+                    assertTrue(b.now < 201 * 250 + 1, "one each 250 ms: " + b.now);
+                }
+            }
+        });
+    }
+
     @Test void moduleIsShortEnoughToPrint() throws Exception {
         List<String> lines = new java.util.ArrayList<>();
         for (String file : List.of("Decide", "subset/Subset")) { // what deploy/balancer.toml names as policy
