Clients' waits count from when bytes may have come, not from when a busy loop reads them

Nine more of that kind, all within a second of a restart, 20 to 146 ms short. Ruled out: SIGTERM and the end of the process (all six ended idle, with nothing open). At fault: Node.take, which counted d from the read; on 0.31 of a core the first passes of a new process take 20 to 60 ms each, and a new connection waits for two. Change: LoopDelay, Loop.delay, Slot.unread; what may have passed unread, and one pass for the answer, come off the wait.

--- a/src/main/java/willowyoke/kit/ProcessLoop.java
+++ b/src/main/java/willowyoke/kit/ProcessLoop.java
@@ -96,6 +96,10 @@
         return loop.now();
     }
 
+    @Override public double delay() {
+        return loop.delay();
+    }
+
     @Override public Future<?> after(double delay, Runnable what) {
         return loop.after(delay, alive(what));
     }
--- a/src/main/java/willowyoke/loop/Loop.java
+++ b/src/main/java/willowyoke/loop/Loop.java
@@ -9,6 +9,12 @@
     /** The clock: Unix time in ms that never goes back. */
     double now();
 
+    /**
+     * For how long (ms) what is handled now may have waited for the loop: bytes that have just been read, or a timer.
+     * 0 on a loop that is never busy, as in virtual time.
+     */
+    double delay();
+
     /** Runs on the loop after a delay (ms); what it throws is logged and ends there. */
     Future<?> after(double delay, Runnable what);
 
--- a/src/main/java/willowyoke/loop/LoopThread.java
+++ b/src/main/java/willowyoke/loop/LoopThread.java
@@ -21,6 +21,7 @@
     private final Clock clock;
     private final Consumer<String> log;
     private final Set<Channel> dirty = new LinkedHashSet<>();
+    private final LoopDelay delay = new LoopDelay();
     private int logged;
 
     /** @param group one event loop: nothing here is safe for two threads */
@@ -40,9 +41,18 @@
         return clock.now();
     }
 
-    @Override public Future<?> after(double delay, Runnable what) {
-        long nanos = Math.max(0, Math.round(delay * 1e6));
-        return group.schedule(() -> guarded(what), nanos, TimeUnit.NANOSECONDS);
+    @Override public double delay() {
+        return delay.estimate(clock.now());
+    }
+
+    @Override public Future<?> after(double wait, Runnable what) {
+        long nanos = Math.max(0, Math.round(wait * 1e6));
+        double due = clock.now() + nanos / 1e6;
+        return group.schedule(() -> {
+            double now = clock.now();
+            delay.sample(now, now - due);
+            guarded(what);
+        }, nanos, TimeUnit.NANOSECONDS);
     }
 
     @Override public void later(Runnable what) {
--- a/src/main/java/willowyoke/net/client/ClientListener.java
+++ b/src/main/java/willowyoke/net/client/ClientListener.java
@@ -288,6 +288,14 @@
             return connection.left();
         }
 
+        /**
+         * For how long (ms) the command may have lain unread, to be asked as it is taken. On a new connection it may
+         * have come before that was accepted, a pass of the loop earlier.
+         */
+        public double unread() {
+            return connection.unread();
+        }
+
         /** Gives the one answer; it is written once those before it are. */
         public void answer(RedisMessage message) {
             answer = message;
@@ -485,6 +493,12 @@
             }
         }
 
+        private double unread() {
+            double delay = loop.delay();
+            double age = loop.now() - bornAt;
+            return age <= delay ? age + delay : delay;
+        }
+
         /** Bytes that its client has still to get. */
         private long unwritten() {
             ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -568,7 +568,7 @@
             slot.answer(new ErrorRedisMessage("BUSY"));
             return null;
         }
-        double patience = Math.max(1, Math.min(call.patience() - WAY_BACK, endsAt - now));
+        double patience = Math.max(1, Math.min(patience(slot, call), endsAt - now));
         boolean leads = false;
         if (recognition != null && call.key() != null && config.settings().keyed(call.type())) {
             switch (recognition.arrived(++lastId, slot, call, command, ledger.row(call.type(), call.customer()),
@@ -600,6 +600,14 @@
         return null;
     }
 
+    /**
+     * For how long from now (ms) a request can be worked on: its client's wait counts from its last byte, which may
+     * have lain unread on a busy loop, and its answer may find the loop as busy.
+     */
+    private double patience(ClientListener.Slot slot, Call call) {
+        return call.patience() - slot.unread() - loop.delay() - WAY_BACK;
+    }
+
     /** It may be sent on from now on, if its client still waits. */
     private void arrived(Request r) {
         if (r.over) {
--- a/src/test/java/willowyoke/net/discovery/SourcesTest.java
+++ b/src/test/java/willowyoke/net/discovery/SourcesTest.java
@@ -53,6 +53,10 @@
             return System.nanoTime() / 1e6;
         }
 
+        @Override public double delay() {
+            return 0;
+        }
+
         @Override public Future<?> after(double delay, Runnable what) {
             return group.schedule(what, Math.round(delay * 1e6), TimeUnit.NANOSECONDS);
         }
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -198,6 +198,33 @@
         draining.join();
     }
 
+    /**
+     * A client's wait counts from its request's last byte. Counted from when a busy loop came to read it, the answer
+     * was late by as much, and its client had gone by then.
+     */
+    private void isAnsweredInItsClientsTime(boolean onNewConnection) throws Exception {
+        start();
+        Peer.Line known = client();
+        known.command("PING");
+        assertEquals(List.of("+PONG"), known.message());
+        get(client(), "f0", "stall", 9000);
+        arrived(1, "stall");
+        get(onNewConnection ? client() : known, "02", "hold", 1000);
+        long unread = 500;
+        Thread.sleep(unread); // the time itself is what is tested: the loop is busy for so long
+        stall.countDown();
+        arrived(2, "hold");
+        assertTrue(patience < 1000 - unread, "of 1000 ms " + patience + " after " + unread);
+    }
+
+    @Test void aRequestThatLayUnreadIsAnsweredInItsClientsTime() throws Exception {
+        isAnsweredInItsClientsTime(false);
+    }
+
+    @Test void aRequestOnAConnectionThatWaitedToBeAcceptedIsAnsweredInItsClientsTime() throws Exception {
+        isAnsweredInItsClientsTime(true);
+    }
+
     /** It crossed the end of its connection: read and dropped, its client could not tell that it was never taken. */
     @Test void aRequestThatCrossesTheEndOfItsConnectionStaysUnreadAndIsToldSo() throws Exception {
         admin = true;
--- a/src/test/java/willowyoke/node/NodeFixture.java
+++ b/src/test/java/willowyoke/node/NodeFixture.java
@@ -51,6 +51,7 @@
         }
 
         @Override public void arrived(double now, Gateway.Request r) {
+            patience = r.patience();
             told.add("arrived " + r.id() + " " + r.type() + " " + r.plan() + " " + r.customer() + " "
                 + r.units()
                 + " " + r.spread() + " " + r.first() + " " + r.again());
@@ -144,6 +145,8 @@
     /** Whether operators may call. */
     boolean admin;
     volatile int failTimers;
+    /** How long (ms) the last request that the module was told of could be worked on. */
+    volatile double patience;
     /** Until it falls a request of class stall keeps the loop busy. */
     final CountDownLatch stall = new CountDownLatch(1);
 
