Requests with no time left are refused at once, instead of failed when their clients have gone

Need: clients that come again with 4 to 6 ms left of their wait were held until that was over and then 8 ms more. Change: below 1 ms of time to work, Node.take refuses (BUSY): nothing ran.

--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -55,6 +55,8 @@
 
     /** Off a client's wait (ms), so that an answer at the end of it is back in time. */
     private static final double WAY_BACK = 10;
+    /** With less of a client's wait left (ms) nothing can be had for it: it is refused at once, while it still waits. */
+    private static final double LEAST_WAIT = 1;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
     /** The parts of lists, connections and code that are not ready by then (ms) are not waited for. */
@@ -561,14 +563,14 @@
         if (ids.contains(call.id())) {
             return "a request of this id is open"; // servers could not tell the two apart
         }
-        if (crowded || held > HELD) {
+        double patience = Math.min(patience(slot, call), endsAt - now);
+        if (crowded || held > HELD || patience < LEAST_WAIT) {
             Ledger.Row row = ledger.row(call.type(), call.customer());
             row.taken();
             row.ended(Ledger.End.REFUSED);
             slot.answer(new ErrorRedisMessage("BUSY"));
             return null;
         }
-        double patience = Math.max(1, Math.min(patience(slot, call), endsAt - now));
         boolean leads = false;
         if (recognition != null && call.key() != null && config.settings().keyed(call.type())) {
             switch (recognition.arrived(++lastId, slot, call, command, ledger.row(call.type(), call.customer()),
