Clients: all connections that wait are accepted in one pass of the loop, not one a pass

Seen, with a line for each accept in a trial: exactly one accept in each pass of the loop, one after another for the first second, passes of 20 to 60 ms, while connects queued. At fault: Netty's EpollRecvByteAllocatorHandle.maybeMoreDataToRead compares the last descriptor with attemptedBytesRead, which is 1, so a listening epoll channel never goes on. Change: its allocator does not ask that; it accepts until none waits, 16 at most in a pass.

--- a/src/main/java/willowyoke/loop/Transport.java
+++ b/src/main/java/willowyoke/loop/Transport.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollIoHandler;
@@ -83,6 +85,8 @@
         private static final boolean NATIVE = Epoll.isAvailable();
         /** States of a connection as Linux counts them (TCP_INFO in tcp(7), the states of RFC 9293 3.3.2). */
         private static final int CLOSED = 7;
+        /** Accepted in one pass of the loop at most, so that a burst of connects does not hold up what else is ready. */
+        private static final int ACCEPTED_AT_ONCE = 16;
         private static final int CLOSE_WAIT = 8;
 
         private Sockets() { }
@@ -102,7 +106,17 @@
 
         @Override public ServerBootstrap accepting(EventLoopGroup group, int backlog) {
             return new ServerBootstrap().group(group).channel(listener())
-                .option(ChannelOption.SO_BACKLOG, backlog).option(ChannelOption.SO_REUSEADDR, true);
+                .option(ChannelOption.SO_BACKLOG, backlog).option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, untilNoneWaits());
+        }
+
+        /**
+         * Accepts until none waits. By default Netty's epoll channel compares the accepted descriptor with 1 to tell
+         * whether more wait, and so accepts one connection in each pass of the loop.
+         */
+        private static RecvByteBufAllocator untilNoneWaits() {
+            return new ServerChannelRecvByteBufAllocator().respectMaybeMoreData(false)
+                .maxMessagesPerRead(ACCEPTED_AT_ONCE);
         }
 
         @Override public ServerBootstrap shared(ServerBootstrap accepting) {
