Counter: an overdue call stays open, and the total of its late answer is taken

Change: at the settings' time-out a call is told as OVERDUE, which only ends the waiting of its requests (they go by belief until the next edge); its end follows, the late total as OK, or after four times the limit as an error (its amount counts as added). Decide takes the late total as any other; units that went by belief meanwhile are covered by that call.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -416,7 +416,8 @@
         if (queue == null) {
             return;
         }
-        Call call = queue.poll();
+        boolean overdue = outcome == Gateway.Outcome.OVERDUE;
+        Call call = overdue ? queue.peek() : queue.poll();
         if (queue.isEmpty()) {
             calls.remove(name);
         }
@@ -426,8 +427,9 @@
         boolean alive = outcome == Gateway.Outcome.RESET || outcome == Gateway.Outcome.ERROR;
         misses = heard ? 0 : alive ? misses : misses + 1;
         // crowded, also where the wait was nearly too long; a connection that breaks tells nothing of that
-        callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT
-            || heard && took > CROWDED * set.allowed().counterTimeout();
+        double crowded = CROWDED * set.allowed().counterTimeout();
+        callsFailed |= outcome == Gateway.Outcome.FULL || outcome == Gateway.Outcome.TIMEOUT || overdue
+            || heard && took > crowded && took <= set.allowed().counterTimeout();
         if (heard) {
             counterBackoff = SUBPERIOD;
         } else if (misses >= MISSES && now >= counterSilentUntil) {
@@ -435,6 +437,19 @@
             counterSilentUntil = now + counterBackoff;
             counterBackoff = Math.min(2 * counterBackoff, 8 * SUBPERIOD);
         }
+        if (overdue) {
+            c.unheard |= c.asking; // its requests wait no longer; the answer is taken when it comes
+            c.askAt = nextEdge();
+        } else {
+            callEnded(call, outcome, total);
+        }
+        pump();
+        giveBack(c);
+    }
+
+    private void callEnded(Call call, Gateway.Outcome outcome, double total) {
+        Customer c = call.customer;
+        boolean heard = outcome == Gateway.Outcome.OK;
         switch (call.why) {
             case CLAIM -> claimHeard(c, outcome, total);
             case GIVE -> c.uncounted += lost(outcome) ? call.amount : 0; // below 0: still to be taken off
@@ -442,8 +457,6 @@
             case TAKE_SLOT -> slotHeard(c, heard, total);
             default -> { }
         }
-        pump();
-        giveBack(c);
     }
 
     @Override public int avoided(double time) {
@@ -578,10 +591,13 @@
             call(c, name(c, c.askEpoch), excess, Why.FIX);
         }
         before -= (far ? excess : Math.max(0, excess)) + c.added - c.claimed;
+        c.unheard = false;
         double wait = c.queue.isEmpty() ? 0 : Math.max(0, lastCall(c.queue.last()) - now);
         double part = Math.floor(Math.max(0, Math.min(c.claimed, before + rate * wait)) + 1e-6);
         double ready = Math.floor(Math.max(0, Math.min(part, before)) + 1e-6);
-        c.credits += ready;
+        double sent = Math.min(ready, Math.max(0, c.uncounted)); // by belief, while this call was overdue
+        c.uncounted -= sent;
+        c.credits += ready - sent;
         for (double k = ready + 1; k <= part; k++) {
             double due = now + (k - before + DUE_LATE) / rate;
             c.due.add(new double[] {due, 1});
@@ -695,7 +711,7 @@
      */
     private boolean onBelief(Customer c, Req r) {
         boolean unheard = c.unheard && now < c.askAt;
-        return !alone(c) && !c.asking && (unheard || !mayCall() || spares(c)) && c.plan.ceilingRate() <= 0
+        return !alone(c) && (!c.asking || unheard) && (unheard || !mayCall() || spares(c)) && c.plan.ceilingRate() <= 0
             && !r.told.again() && believed(c) && guess(c) >= r.told.units()
             + Math.min(UNSEEN * c.plan.burst(), c.plan.rate() / 1000 * (now - c.levelAt));
     }
--- a/src/main/java/willowyoke/Gateway.java
+++ b/src/main/java/willowyoke/Gateway.java
@@ -18,7 +18,9 @@
     /** How an attempt, a probe or a counter call ended; the flag says that it proves nothing ran. */
     enum Outcome {
         OK(false), ERROR(false), FULL(true), TIMEOUT(false), NO_CONNECTION(true), RESET(false),
-        CANCELLED(false), NOT_SENT(true);
+        CANCELLED(false), NOT_SENT(true),
+        /** Of counter calls only, and not an end: no answer in the time of the settings, and the call stays open. */
+        OVERDUE(false);
 
         /** True where the work cannot have run. */
         final boolean neverRan;
@@ -109,6 +111,10 @@
 
         void probed(double now, String server, Outcome outcome, double took, double[] load);
 
+        /**
+         * How a call to the counter ended. Where it is overdue that is told first, and its end later: the answer may
+         * still come. A host that gives up instead tells the one end TIMEOUT. The calls of a name end in their order.
+         */
         void counted(double now, long name, Outcome outcome, double took, double total);
 
         /** A question, not an event: how many servers are listed as up and yet get nothing for now. */
--- a/src/main/java/willowyoke/kit/scale/Assumed.java
+++ b/src/main/java/willowyoke/kit/scale/Assumed.java
@@ -43,6 +43,8 @@
     static final int RACK = 40;
     static final double KEEP_ALIVE = 15_000;
     static final double COUNTER_TIMEOUT = 80;
+    /** After so long (ms) a node ends a connection on which the counter owes an answer. */
+    static final double COUNTER_DEAD = 400;
     private static final int PLANS = 14;
 
     private Assumed() { }
--- a/src/main/java/willowyoke/kit/scale/CounterModel.java
+++ b/src/main/java/willowyoke/kit/scale/CounterModel.java
@@ -32,7 +32,8 @@
         double sent = agenda.now();
         double came = sent + Assumed.WAY;
         if (away || cut) {
-            agenda.after(Assumed.COUNTER_TIMEOUT, () -> node.counted(name, Gateway.Outcome.TIMEOUT, sent, 0));
+            agenda.after(Assumed.COUNTER_TIMEOUT, () -> node.counted(name, Gateway.Outcome.OVERDUE, sent, 0));
+            agenda.after(Assumed.COUNTER_DEAD, () -> node.counted(name, Gateway.Outcome.RESET, sent, 0));
             return;
         }
         if (freeAt - came > Assumed.COUNTER_LINE) {
@@ -45,14 +46,12 @@
         double heard = turn + Assumed.WAY;
         if (heard - sent > Assumed.COUNTER_TIMEOUT) {
             tally.counterLate++;
-            agenda.at(sent + Assumed.COUNTER_TIMEOUT, () -> node.counted(name, Gateway.Outcome.TIMEOUT, sent, 0));
+            agenda.at(sent + Assumed.COUNTER_TIMEOUT, () -> node.counted(name, Gateway.Outcome.OVERDUE, sent, 0));
         }
         agenda.at(turn, () -> {
             double total = totals.merge(name, amount, Double::sum);
             tally.counterBytes += forms.total(total);
-            if (heard - sent <= Assumed.COUNTER_TIMEOUT) {
-                agenda.at(heard, () -> node.counted(name, Gateway.Outcome.OK, sent, total));
-            }
+            agenda.at(heard, () -> node.counted(name, Gateway.Outcome.OK, sent, total));
         });
     }
 }
--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -26,7 +26,8 @@
     /** Who hears how a call ended. */
     public interface Counted {
         /**
-         * Told once for each call, after {@link #add} has returned.
+         * Told after {@link #add} has returned: the end of each call once, and before it that it is overdue, where it
+         * is. The calls of a name end in their order.
          *
          * @param took ms from the call to its end
          * @param total the name's new total where the outcome is OK
@@ -36,6 +37,8 @@
 
     private static final int LINES = 4;
     private static final double CHECK = 200;
+    /** A call is given up after so many times the limit: its customer is not asked for again while it is open. */
+    private static final double GIVEN_UP = 4;
     /** Silence (ms) until a check: shorter than the 10 s or less after which the counter ends idle ones. */
     private static final double IDLE = 1000;
     /** A line that owes an answer for longer (ms) may be dead: what is lost with it has been told. */
@@ -59,7 +62,8 @@
     /** The lines to a new address, until each can take over from the old one. */
     private final Line[] coming = new Line[LINES];
     private InetSocketAddress address;
-    private final ArrayDeque<Call> untold = new ArrayDeque<>();
+    /** Calls that may come to be overdue, in their order. */
+    private final ArrayDeque<Call> recent = new ArrayDeque<>();
     private boolean armed;
     private final CompletableFuture<Void> ready = new CompletableFuture<>();
 
@@ -83,7 +87,7 @@
 
     /**
      * @param address of the counter, or null where there is none yet
-     * @param limit after how long (ms) a call without an answer is told as timed out
+     * @param limit after how long (ms) a call without an answer is told as overdue
      */
     public CounterClient(Loop loop, Counted counted, InetSocketAddress address, double limit) {
         this.loop = loop;
@@ -155,7 +159,7 @@
         } else {
             line.write(call, words);
         }
-        untold.add(call);
+        recent.add(call);
         if (!armed) {
             armed = true;
             loop.after(limit, this::expire);
@@ -175,17 +179,28 @@
 
     /** One timer for all calls, as the limit is one: else answered ones would wake the loop once more. */
     private void expire() {
-        while (!untold.isEmpty() && (untold.peek().told || untold.peek().sent + limit <= loop.now())) {
-            Call call = untold.poll();
-            if (!call.told && call.line.channel != null && call.line.raw.pending() != 0) {
-                call.line.spoilt(); // half an answer, and no more of it
-            }
-            tell(call, call.line.waiting.remove(call) == null ? Gateway.Outcome.TIMEOUT
-                : Gateway.Outcome.NO_CONNECTION, 0);
+        while (!recent.isEmpty() && (recent.peek().told || recent.peek().sent + limit <= loop.now())) {
+            overdue(recent.poll());
         }
-        armed = !untold.isEmpty();
+        armed = !recent.isEmpty();
         if (armed) {
-            loop.after(untold.peek().sent + limit - loop.now(), this::expire);
+            loop.after(recent.peek().sent + limit - loop.now(), this::expire);
+        }
+    }
+
+    /**
+     * The counter has no time-out: it answers when a call has had its turn, and its total is worth having then. So the
+     * call stays open until its answer comes, its line ends or it is given up: then its amount counts as added.
+     */
+    private void overdue(Call call) {
+        if (!call.told && call.line.channel != null && call.line.raw.pending() != 0) {
+            call.line.spoilt(); // half an answer, and no more of it
+        }
+        if (call.line.waiting.remove(call) != null) {
+            tell(call, Gateway.Outcome.NO_CONNECTION, 0);
+        } else if (!call.told) {
+            counted.counted(call.name, Gateway.Outcome.OVERDUE, loop.now() - call.sent, 0);
+            loop.after((GIVEN_UP - 1) * limit, () -> tell(call, Gateway.Outcome.ERROR, 0));
         }
     }
 
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -55,7 +55,9 @@
 
     /** Off a client's wait (ms), so that an answer at the end of it is back in time. */
     private static final double WAY_BACK = 10;
-    /** With less of a client's wait left (ms) nothing can be had for it: it is refused at once, while it still waits. */
+    /** Of a client's wait, what the loop's delays may take at most: they are estimates, and high ones after a pause. */
+    private static final double MOST_DELAYS = 0.5;
+    /** With less of a client's wait left (ms) nothing can be done for it: it is refused while it still waits. */
     private static final double LEAST_WAIT = 1;
     /** The end of the client's wait has been told to the module; it answers by then (ms), or we do. */
     private static final double LAST_WORD = 8;
@@ -607,7 +609,8 @@
      * have lain unread on a busy loop, and its answer may find the loop as busy.
      */
     private double patience(ClientListener.Slot slot, Call call) {
-        return call.patience() - slot.unread() - loop.delay() - WAY_BACK;
+        double delays = Math.min(slot.unread() + loop.delay(), MOST_DELAYS * call.patience());
+        return call.patience() - delays - WAY_BACK;
     }
 
     /** It may be sent on from now on, if its client still waits. */
--- a/src/test/java/willowyoke/QuotaTest.java
+++ b/src/test/java/willowyoke/QuotaTest.java
@@ -202,6 +202,31 @@
         assertEquals(1, b.count("send 2"));
     }
 
+    /** Half of the counter's answers came after the time in the settings, and all of their totals were thrown away. */
+    @Test void theTotalOfALateAnswerIsTaken() {
+        Bench b = new Bench().start().servers(8);
+        b.arrive(1, "read", "rate", "c");
+        b.module.counted(b.now, b.calls.get(0)[0], Gateway.Outcome.OVERDUE, 50, 0);
+        assertEquals(1, b.count("send 1"), "by belief: it waits no longer");
+        b.to(30);
+        b.module.counted(b.now, b.calls.remove(0)[0], OK, 80, 1 + 20); // others took more than all
+        b.arrive(2, "read", "rate", "c");
+        assertEquals(0, b.count("send 2"), "the late total says that nothing is left");
+    }
+
+    @Test void whatWentByBeliefWhileACallWasOverdueIsCoveredByThatCall() {
+        Bench b = new Bench().start().servers(8);
+        b.arrive(1, "read", "rate", "c");
+        b.arrive(2, "read", "rate", "c");
+        b.module.counted(b.now, b.calls.get(0)[0], Gateway.Outcome.OVERDUE, 50, 0);
+        assertEquals(2, b.count("send"), "both by belief");
+        b.to(30);
+        b.answerCounter(OK); // to the one unit of the first
+        b.to(300); // after an overdue call the next one waits for the next edge
+        b.arrive(3, "read", "rate", "c");
+        assertEquals(1, b.count("count 2.0"), "the second one, which was never told, and this one");
+    }
+
     @Test void withNoCallToBeHadARequestGoesByBeliefAndIsToldLater() {
         Bench b = new Bench();
         b.nodes = 1000; // a first allowance of one call for this gateway
