Counter: a line is not taken for dead while its answer lies unread behind a busy loop

Change: what the loop itself may have delayed comes off. Test: MomentsTest (a counter that answers a loop held for 700 ms).

--- a/src/main/java/willowyoke/net/counter/CounterClient.java
+++ b/src/main/java/willowyoke/net/counter/CounterClient.java
@@ -217,7 +217,8 @@
             Line line = line(i);
             if (line.channel != null) {
                 Call oldest = line.calls.peek();
-                if (oldest != null && loop.now() - oldest.sent > DEAD) {
+                // an answer may lie unread behind what this loop was busy with
+                if (oldest != null && loop.now() - oldest.sent - loop.delay() > DEAD) {
                     line.channel.close();
                 } else if (loop.now() - line.usedAt > IDLE) {
                     line.write(new Call(line, 0, loop.now(), true), "PING");
--- a/src/test/java/willowyoke/node/MomentsTest.java
+++ b/src/test/java/willowyoke/node/MomentsTest.java
@@ -225,6 +225,33 @@
         isAnsweredInItsClientsTime(true);
     }
 
+    /** Behind a busy spell the line of an answer that lay unread was taken for dead and ended, and the answer lost. */
+    @Test void aCounterThatAnswersABusyLoopIsNotTakenForDead() throws Exception {
+        start();
+        for (int i = 0; i < 4; i++) {
+            Peer.Line line = counter.accept();
+            Thread answering = new Thread(() -> {
+                try {
+                    while (true) {
+                        line.write(line.message().get(0).equals("PING") ? "+PONG\r\n" : "$1\r\n1\r\n");
+                    }
+                } catch (IOException closed) {
+                    // the test is over
+                }
+            });
+            answering.setDaemon(true);
+            answering.start();
+        }
+        Peer.Line client = client();
+        get(client, "01", "count", 9000);
+        get(client, "f0", "stall", 9000);
+        Thread.sleep(700); // the time itself is what is tested: a line is dead after 400 ms
+        stall.countDown();
+        for (String line = told.take(); !line.startsWith("counted 77 OK"); line = told.take()) {
+            assertTrue(line.startsWith("arrived") || line.startsWith("counted 77 OVERDUE"), line);
+        }
+    }
+
     /** It crossed the end of its connection: read and dropped, its client could not tell that it was never taken. */
     @Test void aRequestThatCrossesTheEndOfItsConnectionStaysUnreadAndIsToldSo() throws Exception {
         admin = true;
