Decide: a late total is used for what still waits, and costs no further calls

At fault, read: claimHeard gave what was refused back with a call of its own at the moment at which the counter was behind, and took credits for requests that had been refused meanwhile, which went back by a call at the next edge. Change: of a late total only what is held or went by belief is taken, and the rest goes with the next add where a store is thin.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -7,8 +7,6 @@
 
 /** Every decision of one gateway. The same events give the same actions; all chance comes from one seed. */
 public final class Decide implements Gateway.Events {
-    // ---- constants, each with its reason ----
-
     /** The design re-splits four times a second. */
     private static final double SUBPERIOD = 250;
     /** A running total has a new name this often (ms), and lives twice as long: 60 s at most are kept. */
@@ -75,7 +73,7 @@
     private final Gateway.Actions act;
     private final Random random;
     private double now;
-    private long serial;
+    private long serial, edges;
     private final Map<String, Type> types = new HashMap<>();
     private final Map<String, Gateway.Plan> plans = new HashMap<>();
     private final Map<String, Customer> customers = new HashMap<>();
@@ -86,21 +84,16 @@
     private final Set<Host> leaving = new LinkedHashSet<>();
     private final Host[] near = new Host[NEAR];
     private List<Host> view = List.of(); // the hosts of the subset, by id
-    private int nearAt;
-    private boolean full;
-    private double width = 1;
     private final Map<Long, ArrayDeque<Call>> calls = new HashMap<>();
     private final PriorityQueue<Timer> timers =
         new PriorityQueue<>(Comparator.<Timer>comparingDouble(t -> t.at).thenComparingLong(t -> t.serial));
     private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentInPeriod;
     private double counterSilentUntil, usuallyInside = 1, silentSince;
-    private int misses, up, answeredEdges;
-    private long edges;
-    private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod;
+    private int misses, up, answeredEdges, nearAt;
+    private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod, width = 1;
     private final Set<Customer> active = new LinkedHashSet<>();
-    private double callLimit, callsLeft, callsMost;
-    private boolean callsFailed;
-    private double counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
+    private double callLimit, callsLeft, callsMost, counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
+    private boolean callsFailed, full;
 
     /** A class with the mean time that its answers take. */
     private static final class Type {
@@ -122,8 +115,7 @@
             new TreeSet<>(Comparator.<Req>comparingDouble(r -> r.useful).thenComparingLong(r -> r.serial));
         final ArrayDeque<Long> slots = new ArrayDeque<>();
         final ArrayDeque<double[]> due = new ArrayDeque<>(); // when, units: parts that the rate fills later
-        double share, credits, accruedAt, dueUnits, held, arrived, usual;
-        double level, levelAt, guess, guessAt, lastTotal;
+        double share, credits, accruedAt, dueUnits, held, arrived, usual, level, levelAt, guess, guessAt, lastTotal;
         double claimed, added, uncounted, fixed, inside, ceiling, ceilingAt, askAt, shortUntil, seen;
         long askEpoch, slotEpoch, totalEpoch;
         int out;
@@ -180,12 +172,10 @@
     private static final class Host {
         final String id;
         Gateway.Server told;
-        boolean listed = true;
         final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
-        double slow = 1, slowAt;
-        double limit = 4; // at first about two for each core of a small machine
+        double slow = 1, slowAt, limit = 4; // at first about two for each core of a small machine
         double lastSent, fails, ejectedUntil, ejections, keptUntil = Double.NEGATIVE_INFINITY;
-        boolean trial, wasDead, left;
+        boolean listed = true, trial, wasDead, left;
         double coldFrom = Double.NEGATIVE_INFINITY, coldCredit, coldAt;
         final Map<Type, double[]> failing = new HashMap<>(); // share that fails, when
 
@@ -449,12 +439,11 @@
 
     private void callEnded(Call call, Gateway.Outcome outcome, double total) {
         Customer c = call.customer;
-        boolean heard = outcome == Gateway.Outcome.OK;
         switch (call.why) {
             case CLAIM -> claimHeard(c, outcome, total);
             case GIVE -> c.uncounted += lost(outcome) ? call.amount : 0; // below 0: still to be taken off
-            case FIX -> fixHeard(c, heard, total);
-            case TAKE_SLOT -> slotHeard(c, heard, total);
+            case FIX -> fixHeard(c, outcome == Gateway.Outcome.OK, total);
+            case TAKE_SLOT -> slotHeard(c, outcome == Gateway.Outcome.OK, total);
             default -> { }
         }
     }
@@ -591,9 +580,10 @@
             call(c, name(c, c.askEpoch), excess, Why.FIX);
         }
         before -= (far ? excess : Math.max(0, excess)) + c.added - c.claimed;
-        c.unheard = false;
+        // late, and some of what it was for has been refused since
+        double wanted = c.unheard ? Math.min(c.claimed, c.held + Math.max(0, c.uncounted)) : c.claimed;
         double wait = c.queue.isEmpty() ? 0 : Math.max(0, lastCall(c.queue.last()) - now);
-        double part = Math.floor(Math.max(0, Math.min(c.claimed, before + rate * wait)) + 1e-6);
+        double part = Math.floor(Math.max(0, Math.min(wanted, before + rate * wait)) + 1e-6);
         double ready = Math.floor(Math.max(0, Math.min(part, before)) + 1e-6);
         double sent = Math.min(ready, Math.max(0, c.uncounted)); // by belief, while this call was overdue
         c.uncounted -= sent;
@@ -613,16 +603,18 @@
         c.totalEpoch = c.askEpoch;
         c.lastTotal = total + part - c.claimed + (far ? excess : 0);
         c.levelAt = c.guessAt = now;
-        c.inside += (part / c.claimed - c.inside) / 2; // few readings, and the last tells most
-        usuallyInside += (part / c.claimed - usuallyInside) * SLOW;
+        double inside = wanted > 0 ? part / wanted : c.inside;
+        c.inside += (inside - c.inside) / 2; // few readings, and the last tells most
+        usuallyInside += (inside - usuallyInside) * SLOW;
         if (part < c.claimed) {
             c.askAt = nextEdge();
-            if (callsLeft < callLimit && thin(c)) { // calls are scarce: it goes with the next add
+            if ((callsLeft < callLimit || c.unheard) && thin(c)) { // calls are scarce: it goes with the next add
                 c.uncounted += part - c.claimed;
             } else {
                 call(c, name(c, c.askEpoch), part - c.claimed, Why.GIVE);
             }
         }
+        c.unheard = false;
     }
 
     /** Two gateways may put the same excess right: the later one sees it twice gone and takes its back. */
