Membership: on the platform a whole list that shrinks is believed at once

At fault, read: Limits.defaults, which serve used also without settings of the operators. Change: Limits.platform, which holds an empty list only; installations with settings keep their own shares. Test: MembershipTest, which fails with the defaults.

--- a/src/main/java/willowyoke/membership/Limits.java
+++ b/src/main/java/willowyoke/membership/Limits.java
@@ -22,6 +22,9 @@
     double holdEmpty, double answers, double doubt, double overlay, double old, double warm, int refusals,
     int timeouts) {
 
+    /** A share that every list reaches which names a server at all. */
+    private static final double EMPTY_ONLY = 1e-9;
+
     public Limits {
         if (!(upAfter >= 0 && upAfterMost >= upAfter && flapWindow >= 0 && shrink >= 0 && shrink <= 1
             && holdShrunk >= 0 && holdEmpty >= holdShrunk && answers > 0 && doubt > 0 && overlay >= 0 && old > 0
@@ -34,4 +37,14 @@
     public static Limits defaults(double warm) {
         return new Limits(100, 1600, 10_000, 0.5, 2000, 30_000, 1000, 2000, 2000, 5000, warm, 2, 3);
     }
+
+    /**
+     * The limits on the platform, whose page has it that what a whole list does not name is gone, also where it still
+     * answers: no list is held but an empty one.
+     */
+    public static Limits platform(double warm) {
+        Limits d = defaults(warm);
+        return new Limits(d.upAfter, d.upAfterMost, d.flapWindow, EMPTY_ONLY, d.holdShrunk, d.holdEmpty, d.answers,
+            d.doubt, d.overlay, d.old, warm, d.refusals, d.timeouts);
+    }
 }
--- a/src/main/java/willowyoke/node/Node.java
+++ b/src/main/java/willowyoke/node/Node.java
@@ -324,7 +324,7 @@
         this.loop = loop;
         agent = Members.agent(config.discovery());
         discovery = own == null
-            ? new Members(loop, this, Limits.defaults(config.settings().rules().warmAfter()), List.of(agent), 0)
+            ? new Members(loop, this, Limits.platform(config.settings().rules().warmAfter()), List.of(agent), 0)
             : new Members(loop, this, own.limits(), Sources.of(own, agent), own.failOver());
         clients = new ClientListener(loop, this, places(config.sockets(), CLIENTS),
             config.admin() != null);
--- a/src/test/java/willowyoke/membership/MembershipTest.java
+++ b/src/test/java/willowyoke/membership/MembershipTest.java
@@ -18,7 +18,7 @@
     private static final Limits LIMITS = Limits.defaults(18_000);
     private static final String A = "a:1";
     private static final String B = "b:1";
-    private final Membership core = new Membership(LIMITS, A);
+    private Membership core = new Membership(LIMITS, A);
     private final Map<String, Entry> view = new TreeMap<>();
     private final List<String> notes = new ArrayList<>();
     private boolean askAnew;
@@ -225,6 +225,16 @@
         assertEquals("s0 s1", ups());
     }
 
+    /** The platform's page: what a whole list does not name is gone, also where it still answers. */
+    @Test void onThePlatformAListThatShrinksIsBelievedAtOnceAndAnEmptyOneIsHeld() {
+        core = new Membership(Limits.platform(18_000), A);
+        start("s0", "s1", "s2", "s3", "s4");
+        told(A, 41, true, up("s0"));
+        assertEquals("s0", ups());
+        told(A, 42, true);
+        assertEquals("s0", ups());
+    }
+
     @Test void aFleetThatIsReplacedIsNoShrinking() {
         start("s0", "s1", "s2");
         told(A, 41, true, up("t0"), up("t1"), up("t2"));
