Quota: an add for a thin store stands for what was sent and never told

Change: where a burst is under half a unit for each node of a set, an add is multiplied by units sent over units told of such campuses (Horvitz and Thompson 1952), by 2.5 at most, over the last 8 s. Test: FleetTest, which fails without.

--- a/src/main/java/willowyoke/Decide.java
+++ b/src/main/java/willowyoke/Decide.java
@@ -50,6 +50,8 @@
     private static final double UNSEEN = 0.25;
     /** A claim is worth its call once so many times this gateway's part of the rate since the last covers it. */
     private static final double PARTS = 4;
+    /** An add for a thin store stands for what was sent and never told (Horvitz, Thompson 1952), at most for this. */
+    private static final double STANDS_FOR = 2.5;
     /** So many calls in a row unanswered are not chance but a counter that is away. */
     private static final int MISSES = 8;
     /** Open counts get a new name this often (ms): what a killed node held is forgotten by then. */
@@ -90,7 +92,7 @@
     private double armed = Double.MAX_VALUE, warmRate, meanAim, longestAim, sentInPeriod;
     private double counterSilentUntil, usuallyInside = 1, silentSince;
     private int misses, up, answeredEdges, nearAt;
-    private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod, width = 1;
+    private double paceRate, paceCredit, pacedAt, paceWake, askRate, askedInPeriod, width = 1, thinSent, thinTold;
     private final Set<Customer> active = new LinkedHashSet<>();
     private double callLimit, callsLeft, callsMost, counterBackoff = SUBPERIOD, subscribeBackoff = 4 * SUBPERIOD;
     private boolean callsFailed, full;
@@ -480,6 +482,8 @@
         long warm = view.stream().filter(h -> h.listed && warmth(h) >= 1).count();
         warmRate += warm > 0 ? (sentInPeriod * 1000 / SUBPERIOD / warm - warmRate) * FAST : 0;
         sentInPeriod = 0;
+        thinSent *= 1 - SLOW;
+        thinTold *= 1 - SLOW;
         askRate += (askedInPeriod * 1000 / SUBPERIOD - askRate) * Math.max(FAST, 1.0 / ++edges);
         askedInPeriod = 0;
         if (callsFailed) {
@@ -544,7 +548,8 @@
         c.asking = true;
         c.unheard = false;
         c.claimed = weight;
-        c.added = weight + c.uncounted;
+        thinTold += thin(c) ? weight : 0;
+        c.added = c.uncounted + weight * (thin(c) ? Math.max(1, Math.min(STANDS_FOR, thinSent / thinTold)) : 1);
         c.uncounted = 0;
         c.askEpoch = epoch();
         call(c, name(c, c.askEpoch), c.added, Why.CLAIM);
@@ -745,6 +750,7 @@
                 return;
             }
             dequeue(r);
+            thinSent += thin(c) ? r.told.units() : 0;
             c.credits -= c.plan.rate() > 0 ? r.told.units() : 0;
             c.ceiling -= r.told.units();
             if (c.credits < 0 || now < counterSilentUntil) { // told with the next add
--- a/src/test/java/willowyoke/FleetTest.java
+++ b/src/test/java/willowyoke/FleetTest.java
@@ -61,6 +61,27 @@
         assertTrue(toCold > 50, "of 150, two of 20 are warm: " + toCold);
     }
 
+    /** With few calls the counter heard of a third of what was sent, and all readings found too much room. */
+    @Test void anAddForAThinStoreStandsForWhatWasNeverTold() {
+        Bench b = new Bench();
+        b.nodes = 1000; // a call or two: the rest goes by belief
+        b.start().servers(2000);
+        for (int i = 0; i < 12; i++) {
+            b.arrive(i, "read", "rate", "c" + i, 1, 20);
+            b.answerCounter(Gateway.Outcome.OK);
+            b.end(i, 0, Gateway.Outcome.OK);
+        }
+        long told = b.count("count");
+        b.to(260); // a call more
+        b.arrive(20, "read", "rate", "d", 1, 20);
+        b.to(600);
+        b.arrive(21, "read", "rate", "e", 1, 20);
+        assertTrue(b.count("count") > told, "another add");
+        double last = Double.parseDouble(b.log.stream().filter(l -> l.startsWith("count")).reduce((x, y) -> y)
+            .orElseThrow().split(" ")[1]);
+        assertTrue(last > 1.5 && last <= 2.5, "stands for " + last);
+    }
+
     /** Half of a crowded counter's answers came too late, and each of these requests was refused with quota unused. */
     @Test void aCallWithoutAnswerLeavesItToBelief() {
         Bench b = one(new Bench());
