--- a/src/main/java/willowyoke/loop/Transport.java
+++ b/src/main/java/willowyoke/loop/Transport.java
@@ -85,9 +85,9 @@
         private static final boolean NATIVE = Epoll.isAvailable();
         /** States of a connection as Linux counts them (TCP_INFO in tcp(7), the states of RFC 9293 3.3.2). */
         private static final int CLOSED = 7;
+        private static final int CLOSE_WAIT = 8;
         /** Accepted in one pass of the loop at most: a burst of connects must not hold up what else is ready. */
         private static final int ACCEPTED_AT_ONCE = 16;
-        private static final int CLOSE_WAIT = 8;
 
         private Sockets() { }
 
