--- a/review/standin/ForeignValue.java
+++ b/review/standin/ForeignValue.java
@@ -57,7 +57,7 @@
     try (Record record = new Record(Path.of(arguments[0]))) {
       code = new ForeignValue(hasTrouble, Integer.parseInt(arguments[2]), record).run(folder);
     }
-    System.exit(code);
+    System.exit(code == 1 ? 3 : code); // the JVM itself ends with 1
   }
 
   /** An app server: a connection carries its requests in order, the work takes 39 to 110 ms. */
--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -41,14 +41,21 @@
 
   static Node start(Path folder, String name, String listen, String discovery, String config)
       throws IOException {
+    return start(folder, name, "", listen, discovery, config);
+  }
+
+  /** @param version tells the files of two processes of the same name apart; their $TMPDIR is one */
+  static Node start(
+      Path folder, String name, String version, String listen, String discovery, String config)
+      throws IOException {
     Matcher run =
         Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
     if (!run.find()) {
       throw new IOException("no run in the deploy file");
     }
-    Path file = Files.writeString(folder.resolve(name + ".json"), config);
+    Path file = Files.writeString(folder.resolve(name + version + ".json"), config);
     Path temporary = Files.createDirectories(folder.resolve(name + "-tmp"));
-    Path log = folder.resolve(name + ".log");
+    Path log = folder.resolve(name + version + ".log");
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run.group(1));
     builder.environment().put("EDGE_NAME", name);
     builder.environment().put("EDGE_LISTEN", listen);
@@ -78,6 +85,31 @@
     return false;
   }
 
+  /** Waits for a yes of GET /api/ready, asked every half second, for 30 s at most. */
+  static boolean awaitAdminReady(int adminPort) throws InterruptedException {
+    long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (System.nanoTime() < untilNanos) {
+      Thread.sleep(500);
+      try (Socket socket = new Socket("127.0.0.1", adminPort)) {
+        socket.setSoTimeout(1000);
+        socket
+            .getOutputStream()
+            .write("GET /api/ready HTTP/1.1\r\nhost: edge\r\nconnection: close\r\n\r\n".getBytes());
+        if (Resp.readLine(socket.getInputStream()).startsWith("HTTP/1.1 2")) {
+          return true;
+        }
+      } catch (IOException e) {
+        // not yet
+      }
+    }
+    return false;
+  }
+
+  /** Waits for the end of the process, for so long at most. */
+  boolean awaitEnd(long ms) throws InterruptedException {
+    return process.waitFor(ms, TimeUnit.MILLISECONDS);
+  }
+
   boolean isAlive() {
     return process.isAlive();
   }
@@ -171,8 +203,13 @@
   }
 
   static String plan(String name, double rate, double depth, double hardRate, double ceilingBurst, double slack) {
+    return plan(name, rate, depth, 0, hardRate, ceilingBurst, slack);
+  }
+
+  static String plan(
+      String name, double rate, double depth, int open, double hardRate, double ceilingBurst, double slack) {
     return "{\"name\":\"" + name + "\",\"per_second\":" + rate + ",\"depth\":" + depth
-        + ",\"open\":0,\"over_cost\":0.8,\"extra_worth\":0.0,\"price\":1.4,\"hard_rate\":" + hardRate
+        + ",\"open\":" + open + ",\"over_cost\":0.8,\"extra_worth\":0.0,\"price\":1.4,\"hard_rate\":" + hardRate
         + ",\"ceiling_burst\":" + ceilingBurst + ",\"cap_slack\":" + slack + "}";
   }
 }
