--- a/review/standin/SlowReaders.java
+++ b/review/standin/SlowReaders.java
@@ -22,9 +22,9 @@
   private static final int WORK_MS = 50;
 
   /** Of the clients that send many commands at once; an answer is under the page's 64 KiB. */
-  private static final int PIPELINING_CLIENTS = 40;
+  private static final int PIPELINING_CLIENTS = 20;
 
-  private static final int COMMANDS_AT_ONCE = 100;
+  private static final int COMMANDS_AT_ONCE = 200;
   private static final int VALUE_BYTES = 60_000;
   private static final long BATCH_EVERY_MS = 10_000;
   private static final double SLOW_BYTES_PER_SECOND = 200_000;
@@ -45,6 +45,8 @@
   private final AtomicInteger batchCommands = new AtomicInteger();
   private final AtomicInteger batchAnswers = new AtomicInteger();
   private final AtomicLong longestMs = new AtomicLong();
+  private double lastAnswerAtMs;
+  private double longestSilenceMs;
   private volatile boolean isOver;
 
   private SlowReaders(boolean hasTrouble, Record record) {
@@ -109,13 +111,20 @@
       Thread.sleep(3000); // the last answers
       record.say(
           "ordinary clients: sent " + sent + ", served " + served + ", refused or failed " + refusedOrFailed
-              + ", lost " + lost + ", longest wait " + longestMs + " ms; sent at once " + batchCommands
+              + ", lost " + lost + ", longest wait " + longestMs + " ms, no answer to any of them for " + Math.round(longestSilenceMs) + " ms; sent at once " + batchCommands
               + " commands, answered " + batchAnswers + (isAlive ? "" : "; the edge node has ended"));
       record.line("log of the edge node: " + node.log());
       return lost.get() > 0 || !isAlive ? 1 : served.get() < sent.get() / 2 ? 2 : 0;
     }
   }
 
+  /** Eight clients ask all the time: the edge node is silent from one answer to the next. */
+  private synchronized void noteAnswer() {
+    double nowMs = record.ms();
+    longestSilenceMs = Math.max(longestSilenceMs, lastAnswerAtMs > 0 ? nowMs - lastAnswerAtMs : 0);
+    lastAnswerAtMs = nowMs;
+  }
+
   private String nextId(String prefix) {
     return prefix + String.format("%012x", ids.incrementAndGet());
   }
@@ -166,6 +175,7 @@
       Resp.Answer answer = Resp.readAnswer(in);
       double tookMs = record.ms() - fromMs;
       longestMs.accumulateAndGet(Math.round(tookMs), Math::max);
+      noteAnswer();
       record.line("ordinary client gets for " + id + " after " + Math.round(tookMs) + " ms: " + answer.text());
       if (answer.value() != null) {
         served.incrementAndGet();
