--- a/review/standin/RestartLoss.java
+++ b/review/standin/RestartLoss.java
@@ -13,19 +13,26 @@
 
 /**
  * Does each request that an edge node has read get its final answer in a planned restart? Three edge
- * nodes, nine app servers, clients that may send a request behind another. The trouble: SIGTERM, and
- * the edge node is held up now and then while it ends.
+ * nodes, nine app servers, clients that may send a request behind another, some of them many at
+ * once. The trouble: SIGTERM, again and again, and the edge node is held up now and then while it ends
+ * (not with HOLD_UP=0).
  */
 public final class RestartLoss {
   private static final int SERVERS = 9;
   private static final int CUSTOMERS = 40;
   private static final int NODES = 3;
 
-  /** Of each edge node; together they send it 500 requests a second. */
+  /** Of each edge node; together they send it some 530 requests a second. */
   private static final int CONNECTIONS = 100;
 
-  private static final int MEAN_GAP_MS = 200;
-  private static final int LOAD_MS = 1000;
+  private static final int MEAN_GAP_MS = 400;
+
+  /** So many of them send many commands at once. */
+  private static final int PIPELINING_CONNECTIONS = 6;
+
+  private static final int COMMANDS_AT_ONCE = 40;
+  private static final int MEAN_PIPELINING_GAP_MS = 800;
+  private static final int LOAD_MS = 600;
 
   private static final double HOLD_UP_S = 0.12;
 
@@ -43,6 +50,7 @@
   private final AtomicInteger unread = new AtomicInteger();
   private final AtomicInteger lost = new AtomicInteger();
   private final AtomicInteger restarts = new AtomicInteger();
+  private final boolean isHeldUp = !"0".equals(System.getenv("HOLD_UP"));
   private final Random phases = new Random(5);
   private volatile boolean hasFailed;
 
@@ -119,7 +127,8 @@
       AtomicBoolean isOver = new AtomicBoolean();
       List<Thread> clients = new ArrayList<>();
       for (int k = 0; k < CONNECTIONS; k++) {
-        clients.add(LineServer.start(() -> client(node, isOver)));
+        boolean sendsMany = k < PIPELINING_CONNECTIONS;
+        clients.add(LineServer.start(() -> client(node, isOver, sendsMany)));
       }
       Thread.sleep(LOAD_MS);
       if (hasTrouble) {
@@ -128,7 +137,7 @@
         node.signal("TERM");
         double killAtMs = record.ms() + KILL_AFTER_MS;
         boolean hasEnded = node.awaitEnd(phases.nextInt(HOLD_UP_PAUSE_MS));
-        while (!hasEnded && record.ms() < killAtMs - 500) {
+        while (isHeldUp && !hasEnded && record.ms() < killAtMs - 500) {
           node.holdUp(HOLD_UP_S, record);
           hasEnded = node.awaitEnd(HOLD_UP_PAUSE_MS);
         }
@@ -145,7 +154,7 @@
   }
 
   /** One connection: requests at random moments, also behind ones that are not answered. */
-  private void client(Node node, AtomicBoolean isOver) {
+  private void client(Node node, AtomicBoolean isOver, boolean sendsMany) {
     ArrayDeque<String> open = new ArrayDeque<>();
     try (Socket socket = new Socket()) {
       socket.connect(node.address);
@@ -154,12 +163,14 @@
       Thread reader = LineServer.start(() -> read(socket, open, hasEnded));
       Random random = new Random(ids.get());
       while (!isOver.get()) {
-        Thread.sleep(1 + random.nextInt(2 * MEAN_GAP_MS));
+        Thread.sleep(1 + random.nextInt(2 * (sendsMany ? MEAN_PIPELINING_GAP_MS : MEAN_GAP_MS)));
         synchronized (open) {
           if (hasEnded[0]) {
             break;
           }
-          send(socket, open);
+          for (int i = 0; i < (sendsMany ? COMMANDS_AT_ONCE : 1); i++) {
+            send(socket, open);
+          }
         }
       }
       Thread.sleep(isOver.get() ? 3500 : 0); // the last answers
