--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -64,7 +64,9 @@
     builder.environment().put("TMPDIR", temporary.toString());
     builder.redirectErrorStream(true).redirectOutput(log.toFile());
     String[] parts = listen.split(":");
-    return new Node(builder.start(), log, new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
+    Process process = builder.start();
+    Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly)); // also where a run is cut short
+    return new Node(process, log, new InetSocketAddress(parts[0], Integer.parseInt(parts[1])));
   }
 
   /** Waits until PING is answered +PONG, for 30 s at most. */
