Bound the bytes of responses that wait for slow clients, for each and for all

Cause: ResponseQueue.writeReady wrote each response to the channel, writable or not; 256 commands may hold 16 MB a connection, direct memory is 32 MB for all. Once it is used up, Bits.reserveMemory sleeps on the event loop thread: in six of six thread dumps, a second apart, the loop stood there.

Responses wait on the heap until the channel is writable, as copies of their own size; a request is started only while its response is expected to fit, else it waits for up to half of its time and is rejected; a value without room is answered with an error. A client that takes nothing for 60 s is disconnected (5 s in a drain); before, only long values had such a bound.

Why this works: what is buffered is counted from a response's arrival until the kernel has taken it, and nothing is asked of an endpoint for which there would be no room, so direct memory is not used up and no allocation sleeps.

Not kept: a first expected size of 64 KiB. It would start 24 requests of a connection at once where 256 are promised.

--- a/src/main/java/edgenode/eventloop/SocketTransport.java
+++ b/src/main/java/edgenode/eventloop/SocketTransport.java
@@ -15,10 +15,13 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.unix.RawUnixChannelOption;
 import io.netty.channel.unix.UnixChannelOption;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 
 /** Sockets of this machine: native epoll, which takes a fifth less CPU than NIO, or else NIO. */
 final class SocketTransport implements Transport {
@@ -29,6 +32,18 @@
 
   private static final int TCP_CLOSE_WAIT = 8;
 
+  /** The kernel's struct tcp_info up to tcpi_notsent_bytes, and offsets in it (linux/tcp.h). */
+  private static final int TCP_INFO_BYTES = 152;
+
+  private static final int UNACKED_SEGMENTS_OFFSET = 24;
+  private static final int ACKNOWLEDGED_BYTES_OFFSET = 120;
+  private static final int NOT_SENT_BYTES_OFFSET = 144;
+
+  /** Level and name of the socket option (tcp(7)). */
+  private static final int IPPROTO_TCP = 6;
+
+  private static final int TCP_INFO = 11;
+
   /** A burst of connects must not delay all other events of a pass of the loop. */
   private static final int MAX_ACCEPTS_PER_PASS = 16;
 
@@ -96,6 +111,26 @@
     return false;
   }
 
+  @Override
+  public Delivery deliveryOf(Channel connection) {
+    try {
+      if (connection instanceof EpollSocketChannel socket && socket.isActive()) {
+        ByteBuffer info =
+            socket
+                .config()
+                .getOption(
+                    new RawUnixChannelOption("TCP_INFO", IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES))
+                .order(ByteOrder.nativeOrder());
+        return new Delivery(
+            info.getInt(UNACKED_SEGMENTS_OFFSET) == 0 && info.getInt(NOT_SENT_BYTES_OFFSET) == 0,
+            info.getLong(ACKNOWLEDGED_BYTES_OFFSET));
+      }
+    } catch (ChannelException e) {
+      // it has just been closed, or the system does not say
+    }
+    return Delivery.UNKNOWN;
+  }
+
   @Override
   public SocketAddress toSocketAddress(InetSocketAddress address) {
     return address;
--- a/src/main/java/edgenode/eventloop/Transport.java
+++ b/src/main/java/edgenode/eventloop/Transport.java
@@ -56,6 +56,14 @@
     return false;
   }
 
+  /**
+   * How much of what was written has reached the peer's system; {@link Delivery#UNKNOWN} where this
+   * is not supported.
+   */
+  default Delivery deliveryOf(Channel connection) {
+    return Delivery.UNKNOWN;
+  }
+
   /** Whether a connect failed as the peer refused it, rather than by a time-out. */
   static boolean isRefused(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -1,5 +1,6 @@
 package edgenode.net.downstream;
 
+import edgenode.eventloop.DeliveryProgress;
 import edgenode.eventloop.EdgeEventLoop;
 import edgenode.net.resp.RespCodec;
 import io.netty.buffer.Unpooled;
@@ -31,12 +32,15 @@
   /** Time (ms) for the client to close its side after we have closed ours. */
   private static final int LINGER_MS = 200;
 
+  /** A client that takes nothing of its responses for this time (ms) is disconnected. */
+  private static final double STALL_TIMEOUT_MS = 60_000;
+
+  /** The same once the node closes connections. */
+  private static final double CLOSING_STALL_TIMEOUT_MS = 5000;
+
   /** While reading is off, interval (ms) at which it is checked whether the client disconnected. */
   private static final double DISCONNECT_CHECK_INTERVAL_MS = 50;
 
-  /** After our end, a client that reads nothing for this time (ms) is disconnected. */
-  private static final int SLOW_READER_TIMEOUT_MS = 2000;
-
   /** In place of a time: no command is waited for. */
   private static final double NOT_WAITING = Double.MAX_VALUE;
 
@@ -64,13 +68,15 @@
   private boolean hasClientDisconnected;
 
   private boolean isDisconnectCheckScheduled;
+  private final DeliveryProgress progress;
 
   /** Adds itself and the codec to the channel's pipeline. */
   ClientConnection(ClientListener listener, EdgeEventLoop loop, Channel channel) {
     this.listener = listener;
     this.loop = loop;
     this.channel = channel;
-    responses = new ResponseQueue(loop, channel);
+    responses = new ResponseQueue(loop, channel, listener.responseBudget());
+    progress = new DeliveryProgress(loop, channel);
     acceptedAtMs = loop.nowMs();
     waitingSinceMs = acceptedAtMs;
     decoder = RespCodec.addCodec(channel.pipeline(), MAX_COMMAND_ELEMENTS);
@@ -95,8 +101,26 @@
     return responses.openRequestCount();
   }
 
-  long unwrittenBytes() {
-    return responses.unwrittenBytes();
+  ResponseQueue responses() {
+    return responses;
+  }
+
+  /** Whether the client has not taken all of a response. */
+  boolean hasUndeliveredResponses() {
+    return responses.hasUndelivered();
+  }
+
+  /** Closes the connection where its client has stopped to read its responses. */
+  void closeIfStalled() {
+    if (!responses.hasUndelivered()) {
+      progress.reset();
+      return;
+    }
+    double timeoutMs =
+        listener.isClosing() || isOutputEnding ? CLOSING_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
+    if (progress.stalledMs() > timeoutMs) {
+      channel.close();
+    }
   }
 
   boolean isNextToWrite(ResponseSlot slot) {
@@ -107,10 +131,13 @@
 
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
-    // Dropped commands were not accepted: the client sends them again on another connection. A read
-    // while reading is off comes with the end of the client's side.
+    // A read while reading is off comes with the end of the client's side, or its event was taken
+    // before reading was turned off.
     if (ignoresInput || !channel.config().isAutoRead() && checkClientDisconnected()) {
       ReferenceCountUtil.release(message);
+      if (isOutputEnding && !checkClientDisconnected()) {
+        loop.logLine("client connection: a command was read after the end, and is lost");
+      }
       return;
     }
     decoder.messageDecoded((RedisMessage) message);
@@ -267,7 +294,10 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    responses.writabilityChanged();
+    responses.updateFlow();
+    if (responses.isReadyToWrite()) {
+      loop.execute(this::writeResponses); // not within the flush that made room
+    }
     updateReading();
   }
 
@@ -280,7 +310,7 @@
    */
   void evict() {
     boolean isAllRead = loop.nowMs() - listener.evictionOrder().remove(this) > LINGER_MS;
-    if (isAllRead && channel.unsafe().outboundBuffer() != null && responses.unwrittenBytes() == 0) {
+    if (isAllRead && channel.unsafe().outboundBuffer() != null && !responses.hasUndelivered()) {
       ignoresInput = true;
       channel.close();
     } else {
@@ -300,7 +330,6 @@
       ignoresInput = true;
       listener.evictionOrder().remove(this);
       updateReading();
-      closeUnlessClientReads(Long.MAX_VALUE);
       // Behind all that is written: closing the output drops what a slow reader has not got yet.
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::endOutput);
     }
@@ -321,23 +350,6 @@
     channel.close();
   }
 
-  /** A client that goes on reading its responses may take its time. */
-  private void closeUnlessClientReads(long unwrittenBefore) {
-    channel
-        .eventLoop()
-        .schedule(
-            () -> {
-              long unwritten = responses.unwrittenBytes();
-              if (unwritten > 0 && unwritten < unwrittenBefore) {
-                closeUnlessClientReads(unwritten);
-              } else {
-                channel.close();
-              }
-            },
-            SLOW_READER_TIMEOUT_MS,
-            TimeUnit.MILLISECONDS);
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     listener.connectionClosed(this);
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -35,6 +35,8 @@
   /** The connections that are not closing. */
   private final EvictionOrder<ClientConnection> evictionOrder = new EvictionOrder<>();
 
+  private final ResponseBufferBudget responseBudget = new ResponseBufferBudget();
+
   /** Null until the address is bound. */
   private Channel listenChannel;
 
@@ -106,6 +108,8 @@
     loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
     double overdueSinceMs = loop.nowMs() - COMMAND_TIMEOUT_MS;
     for (ClientConnection connection : connections.toArray(new ClientConnection[0])) {
+      connection.responses().startUnstarted();
+      connection.closeIfStalled();
       if (connection.isCommandOverdue(overdueSinceMs)) {
         connection.rejectInput("no whole command came");
       } else if (isClosing
@@ -209,7 +213,7 @@
   /** Whether a client has not read all of a response. */
   public boolean hasUnwrittenResponses() {
     for (ClientConnection connection : connections) {
-      if (connection.unwrittenBytes() > 0) {
+      if (connection.hasUndeliveredResponses()) {
         return true;
       }
     }
@@ -220,6 +224,10 @@
     return requestHandler;
   }
 
+  ResponseBufferBudget responseBudget() {
+    return responseBudget;
+  }
+
   EvictionOrder<ClientConnection> evictionOrder() {
     return evictionOrder;
   }
--- a/src/main/java/edgenode/net/downstream/ResponseQueue.java
+++ b/src/main/java/edgenode/net/downstream/ResponseQueue.java
@@ -1,24 +1,44 @@
 package edgenode.net.downstream;
 
+import edgenode.eventloop.DeliveryProgress;
 import edgenode.eventloop.EdgeEventLoop;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.redis.FullBulkStringRedisMessage;
+import io.netty.handler.codec.redis.RedisMessage;
 import java.util.ArrayDeque;
 
-/** Writes the responses of one connection in the order of its commands. On the event loop only. */
+/**
+ * Writes the responses of one connection in the order of its commands. What the client does not
+ * take yet is held within the {@link ResponseBufferBudget}, and commands whose responses would not
+ * fit are started later. On the event loop only.
+ */
 final class ResponseQueue {
   private static final byte[] END_OF_LINE = {'\r', '\n'};
 
   private final EdgeEventLoop loop;
   private final Channel channel;
+  private final ResponseBufferBudget budget;
   private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
 
-  ResponseQueue(EdgeEventLoop loop, Channel channel) {
+  /** Slots whose command is not started yet, for want of room for its response. */
+  private final ArrayDeque<ResponseSlot> unstartedSlots = new ArrayDeque<>();
+
+  /** Requests that are started and have no response yet. */
+  private int startedRequests;
+
+  /** Bytes of responses that are held here or in the channel. */
+  private long bufferedBytes;
+
+  private boolean isStartScheduled;
+  private boolean isClosed;
+
+  ResponseQueue(EdgeEventLoop loop, Channel channel, ResponseBufferBudget budget) {
     this.loop = loop;
     this.channel = channel;
+    this.budget = budget;
   }
 
   void add(ResponseSlot slot) {
@@ -34,6 +54,10 @@
     return slots.isEmpty();
   }
 
+  boolean isClosed() {
+    return isClosed;
+  }
+
   /** Returns the slot that is written next, or null. */
   ResponseSlot first() {
     return slots.peek();
@@ -48,13 +72,106 @@
     return count;
   }
 
-  /** Writes the responses that are next and complete, and what there is of a streamed one. */
+  // ---- starting requests ----
+
+  /**
+   * Starts the slot's command, now or once there is room for its response.
+   *
+   * @return whether it has been started
+   */
+  boolean startWhenRoom(ResponseSlot slot) {
+    unstartedSlots.add(slot);
+    startUnstarted();
+    return !slot.isUnstarted();
+  }
+
+  /** Starts commands, in their order, while there is room for their responses. */
+  void startUnstarted() {
+    while (!unstartedSlots.isEmpty() && budget.canStart(bufferedBytes, startedRequests)) {
+      startedRequests++;
+      unstartedSlots.poll().start();
+    }
+  }
+
+  private void startUnstartedLater() {
+    if (!unstartedSlots.isEmpty() && !isStartScheduled) {
+      isStartScheduled = true;
+      loop.execute(
+          () -> {
+            isStartScheduled = false;
+            startUnstarted();
+          });
+    }
+  }
+
+  /** A started request has its response, or needs none. */
+  void startedRequestEnded() {
+    startedRequests--;
+    startUnstartedLater();
+  }
+
+  /** The slot is answered without having been started. */
+  void cancelStart(ResponseSlot slot) {
+    unstartedSlots.remove(slot);
+  }
+
+  /** A value of this size has come from an endpoint. */
+  void valueReceived(int valueBytes) {
+    if (valueBytes > 0) {
+      budget.responseReceived(valueBytes);
+    }
+  }
+
+  /** Whether a value of this size can be written now, or held until it can. */
+  boolean hasRoomFor(ResponseSlot slot, int valueBytes) {
+    return canWriteAtOnce(slot) || budget.canHold(bufferedBytes, valueBytes);
+  }
+
+  // ---- buffering ----
+
+  private boolean canWriteAtOnce(ResponseSlot slot) {
+    return slots.peek() == slot && unwrittenBytes() == 0;
+  }
+
+  /**
+   * Returns the message in the form in which it can wait for its client. A value is copied: its
+   * bytes are part of a larger read buffer, which would be held with them.
+   */
+  RedisMessage toHeldMessage(ResponseSlot slot, RedisMessage message) {
+    if (canWriteAtOnce(slot) || !(message instanceof FullBulkStringRedisMessage value)) {
+      return message;
+    }
+    if (value.isNull() || !value.content().isReadable()) {
+      return message;
+    }
+    byte[] bytes = ByteBufUtil.getBytes(value.content());
+    value.release();
+    return new FullBulkStringRedisMessage(Unpooled.wrappedBuffer(bytes));
+  }
+
+  /** Bytes of a response have come. */
+  void buffered(long bytes) {
+    bufferedBytes += bytes;
+    budget.add(bytes);
+  }
+
+  /** The kernel has taken bytes of a response, or they are dropped. */
+  void unbuffered(long bytes) {
+    bufferedBytes -= bytes;
+    budget.remove(bytes);
+    updateFlow();
+    startUnstartedLater();
+  }
+
+  // ---- writing ----
+
+  /** Writes the responses that are next, as long as the client takes them. */
   void writeReady() {
-    while (!slots.isEmpty()) {
+    while (!slots.isEmpty() && channel.isWritable()) {
       ResponseSlot first = slots.peek();
       if (first.response() != null) {
         slots.poll();
-        write(first.response());
+        write(first.response(), first.bufferedBytes());
       } else if (first.isStreaming() && writeStreamed(first)) {
         slots.poll();
       } else {
@@ -63,40 +180,61 @@
     }
   }
 
-  private void write(Object message) {
-    channel.write(message, channel.voidPromise());
+  /** Whether {@link #writeReady} would write something. */
+  boolean isReadyToWrite() {
+    ResponseSlot first = slots.peek();
+    return first != null
+        && channel.isWritable()
+        && (first.response() != null || first.isStreaming() && first.hasUnwrittenParts());
+  }
+
+  private void write(Object message, long bytes) {
+    if (bytes == 0) {
+      channel.write(message, channel.voidPromise());
+    } else {
+      channel.write(message).addListener(written -> unbuffered(bytes));
+    }
     loop.flushLater(channel);
   }
 
   /** Writes what has arrived of the streamed value that is next; whether that is all of it. */
   private boolean writeStreamed(ResponseSlot slot) {
     if (!slot.isHeaderWritten()) {
-      write(ByteBufUtil.writeAscii(channel.alloc(), slot.unwrittenHeader()));
+      write(ByteBufUtil.writeAscii(channel.alloc(), slot.unwrittenHeader()), 0);
       slot.headerWritten();
     }
-    for (ByteBuf chunk = slot.takeChunk(); chunk != null; chunk = slot.takeChunk()) {
-      write(chunk);
+    while (slot.hasUnwrittenChunks() && channel.isWritable()) {
+      ByteBuf chunk = slot.takeChunk();
+      write(chunk, chunk.readableBytes());
     }
-    if (slot.isStreamFinished()) {
-      write(Unpooled.wrappedBuffer(END_OF_LINE));
+    if (slot.isStreamFinished() && !slot.hasUnwrittenChunks()) {
+      write(Unpooled.wrappedBuffer(END_OF_LINE), 0);
       return true;
     }
-    slot.flowControl().setFlowing(channel.isWritable());
+    slot.flowControl().setFlowing(canStream());
     return false;
   }
 
+  private boolean canStream() {
+    return channel.isWritable() && (unwrittenBytes() == 0 || budget.canStream(bufferedBytes));
+  }
+
   /** The client reads again, or has stopped to: passes that on to the value that is next. */
-  void writabilityChanged() {
+  void updateFlow() {
     ResponseSlot first = slots.peek();
     if (first != null && first.isStreaming() && first.isHeaderWritten()) {
-      first.flowControl().setFlowing(channel.isWritable());
+      first.flowControl().setFlowing(canStream());
     }
   }
 
-  /** Bytes of responses that the kernel has not taken, as the client does not read. */
+  /** Bytes in the channel that the kernel has not taken. */
   long unwrittenBytes() {
-    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
-    return buffer == null ? 0 : buffer.totalPendingWriteBytes();
+    return DeliveryProgress.unwrittenBytes(channel);
+  }
+
+  /** Whether a response, or a part of it, waits for the client to read. */
+  boolean hasUndelivered() {
+    return bufferedBytes > 0 || unwrittenBytes() > 0;
   }
 
   /** Fails all open requests at once, for an error that is written after their responses. */
@@ -110,6 +248,8 @@
 
   /** The connection is closed: releases what is not written, and tells the open requests. */
   void closed() {
+    isClosed = true;
+    unstartedSlots.clear();
     while (!slots.isEmpty()) {
       ResponseSlot slot = slots.poll();
       slot.release();
--- a/src/main/java/edgenode/net/downstream/ResponseSlot.java
+++ b/src/main/java/edgenode/net/downstream/ResponseSlot.java
@@ -1,5 +1,6 @@
 package edgenode.net.downstream;
 
+import edgenode.net.resp.RespCodec;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
@@ -14,6 +15,15 @@
 
   private final ClientConnection connection;
 
+  /** Starts the command once there is room for its response; null before and after. */
+  private Runnable startTask;
+
+  /** The command is started, and has no response yet. */
+  private boolean isAwaitingResponse;
+
+  /** Bytes of the response that are held here. */
+  private long bufferedBytes;
+
   /** Null until there is a response that is not streamed. */
   private RedisMessage response;
 
@@ -40,16 +50,72 @@
     openRequest = request;
   }
 
+  /**
+   * Starts the work on the command, now or once there is room for its response among those that the
+   * clients have not read. A command that is answered before that is not started.
+   *
+   * @return whether it has been started
+   */
+  public boolean startWhenRoom(Runnable task) {
+    startTask = task;
+    return connection.responses().startWhenRoom(this);
+  }
+
+  void start() {
+    Runnable task = startTask;
+    startTask = null;
+    isAwaitingResponse = true;
+    task.run();
+  }
+
+  /** Whether the command waits for room for its response. */
+  public boolean isUnstarted() {
+    return startTask != null;
+  }
+
+  /**
+   * Whether there is room for a value that has come for the command. Without it, the client reads
+   * so slowly that {@link #respond} has to be given an error instead.
+   */
+  public boolean hasRoomFor(int valueBytes) {
+    return connection.responses().hasRoomFor(this, valueBytes);
+  }
+
+  /** The command needs no more work: it is not started, or what was started has ended. */
+  private void endStart() {
+    if (startTask != null) {
+      startTask = null;
+      connection.responses().cancelStart(this);
+    }
+    if (isAwaitingResponse) {
+      isAwaitingResponse = false;
+      connection.responses().startedRequestEnded();
+    }
+  }
+
   /**
    * Gives the response as one message.
    *
    * @param message the slot's to release
    */
   public void respond(RedisMessage message) {
-    response = message;
+    if (connection.responses().isClosed()) {
+      ReferenceCountUtil.release(message);
+      return;
+    }
+    endStart();
+    int valueBytes = RespCodec.valueBytes(message);
+    connection.responses().valueReceived(valueBytes);
+    response = connection.responses().toHeldMessage(this, message);
+    buffered(valueBytes);
     connection.writeResponses();
   }
 
+  private void buffered(long bytes) {
+    bufferedBytes += bytes;
+    connection.responses().buffered(bytes);
+  }
+
   /**
    * Starts a response whose value arrives in chunks. Until the responses before it are written the
    * source is stopped; chunks that arrive nevertheless are kept.
@@ -58,6 +124,8 @@
    * @param source stopped while the client does not read
    */
   public void startStreaming(int lengthBytes, FlowControl source) {
+    endStart();
+    connection.responses().valueReceived(lengthBytes);
     flowControl = source;
     unwrittenHeader = "$" + lengthBytes + "\r\n";
     unwrittenChunks = new ArrayDeque<>(INITIAL_CHUNKS);
@@ -74,6 +142,7 @@
    */
   public void writeChunk(ByteBuf chunk) {
     unwrittenChunks.add(chunk);
+    buffered(chunk.readableBytes());
     connection.writeResponses();
   }
 
@@ -139,9 +208,25 @@
     unwrittenHeader = null;
   }
 
-  /** Returns the next chunk, which is the caller's to release, or null where there is none. */
+  boolean hasUnwrittenChunks() {
+    return !unwrittenChunks.isEmpty();
+  }
+
+  /** Whether a streamed value has a part that could be written. */
+  boolean hasUnwrittenParts() {
+    return !isHeaderWritten() || hasUnwrittenChunks() || isStreamFinished;
+  }
+
+  /** Returns the next chunk, which is the caller's to release; there has to be one. */
   ByteBuf takeChunk() {
-    return unwrittenChunks.poll();
+    ByteBuf chunk = unwrittenChunks.remove();
+    bufferedBytes -= chunk.readableBytes();
+    return chunk;
+  }
+
+  /** Bytes of the response that are held here; those in the channel do not count. */
+  long bufferedBytes() {
+    return bufferedBytes;
   }
 
   /** Drops a stream of which nothing is written, so that another response can be given. */
@@ -156,5 +241,7 @@
     while (unwrittenChunks != null && !unwrittenChunks.isEmpty()) {
       unwrittenChunks.poll().release();
     }
+    connection.responses().unbuffered(bufferedBytes);
+    bufferedBytes = 0;
   }
 }
--- a/src/main/java/edgenode/net/resp/RespCodec.java
+++ b/src/main/java/edgenode/net/resp/RespCodec.java
@@ -172,6 +172,13 @@
         : null;
   }
 
+  /** Bytes of the value of a bulk string; 0 where the message is null or of another type. */
+  public static int valueBytes(RedisMessage message) {
+    return isBulkString(message)
+        ? ((FullBulkStringRedisMessage) message).content().readableBytes()
+        : 0;
+  }
+
   /** Whether the message is a bulk string that is not null. */
   public static boolean isBulkString(RedisMessage message) {
     return message instanceof FullBulkStringRedisMessage bulk && !bulk.isNull();
--- a/src/main/java/edgenode/node/DuplicateRequestHandler.java
+++ b/src/main/java/edgenode/node/DuplicateRequestHandler.java
@@ -75,6 +75,9 @@
 
     void leaderResponded(ReplayableResponse response) {
       ReplayableResponse replayed = response == null ? RESPONSE_NOT_CACHED : response;
+      if (!slot.hasRoomFor(replayed.sizeBytes())) {
+        replayed = RESPONSE_NOT_CACHED; // its client reads too slowly
+      }
       finish(replayed.ledgerOutcome());
       slot.respond(replayed.toMessage());
     }
--- a/src/main/java/edgenode/node/PendingRequest.java
+++ b/src/main/java/edgenode/node/PendingRequest.java
@@ -5,6 +5,7 @@
 import edgenode.net.downstream.OpenRequest;
 import edgenode.net.downstream.ResponseSlot;
 import edgenode.net.resp.RequestCommand;
+import edgenode.net.resp.RespCodec;
 import edgenode.net.upstream.UpstreamAttempt;
 import edgenode.net.upstream.UpstreamConnectionPool;
 import edgenode.net.upstream.UpstreamRequest;
@@ -32,6 +33,12 @@
    */
   private static final double POLICY_GRACE_MS = 8;
 
+  /**
+   * Part of its time that a request may wait for room for its response. A later rejection would
+   * leave its client too little time to ask elsewhere.
+   */
+  private static final double MAX_START_DELAY_SHARE = 0.5;
+
   private final RequestTable table;
   private final long id;
   private final ResponseSlot slot;
@@ -120,9 +127,23 @@
     counters.requestAccepted();
     scheduleDeadline(budgetMs);
     if (isLeader) {
-      table.duplicates.whenKeyPersisted(id, this::notifyArrival);
+      table.duplicates.whenKeyPersisted(id, this::startWhenRoom);
     } else {
-      notifyArrival();
+      startWhenRoom();
+    }
+  }
+
+  /** A request waits while its client has not read the responses before it. */
+  private void startWhenRoom() {
+    if (!isFinished && !slot.startWhenRoom(this::notifyArrival)) {
+      double maxWaitMs = MAX_START_DELAY_SHARE * (deadlineMs - table.loop.nowMs());
+      table.loop.schedule(maxWaitMs, this::rejectIfUnstarted);
+    }
+  }
+
+  private void rejectIfUnstarted() {
+    if (slot.isUnstarted()) {
+      reject(0);
     }
   }
 
@@ -324,7 +345,7 @@
     attemptsWritten -= attempt.isWritten() && outcome.provesNothingRan() ? 1 : 0;
     double nowMs = table.loop.nowMs();
     if (outcome == CallOutcome.OK && !isFinished) {
-      respond(RequestOutcome.SERVED, ReferenceCountUtil.retain(value));
+      respondWithValue(value);
     }
     if (!table.policy.attemptEnded(nowMs, this, attempt, outcome, loadReport)) {
       failWithoutDecision();
@@ -339,8 +360,30 @@
     return attemptsWritten > 0 || attemptsInFlight > 0;
   }
 
+  private void respondWithValue(RedisMessage value) {
+    if (hasNoClient || slot.hasRoomFor(RespCodec.valueBytes(value))) {
+      respond(RequestOutcome.SERVED, ReferenceCountUtil.retain(value));
+    } else {
+      table.valueDropped();
+      respond(RequestOutcome.FAILED, new ErrorRedisMessage("ERR failed"), replayable(value));
+    }
+  }
+
+  private ReplayableResponse replayable(RedisMessage message) {
+    return isKeyLeader ? ReplayableResponse.of(message) : null;
+  }
+
   private void respond(RequestOutcome outcome, RedisMessage message) {
-    ReplayableResponse replayable = isKeyLeader ? ReplayableResponse.of(message) : null;
+    respond(outcome, message, replayable(message));
+  }
+
+  /**
+   * Gives the final response.
+   *
+   * @param replayable the response for duplicates, or null
+   */
+  private void respond(
+      RequestOutcome outcome, RedisMessage message, ReplayableResponse replayable) {
     finish(outcome);
     if (hasNoClient) {
       ReferenceCountUtil.release(message);
--- a/src/main/java/edgenode/node/RequestTable.java
+++ b/src/main/java/edgenode/node/RequestTable.java
@@ -38,6 +38,9 @@
    */
   private static final long MAX_BUFFERED_BYTES = 8L << 20;
 
+  /** Least time (ms) between log lines on dropped values. */
+  private static final double DROP_LOG_INTERVAL_MS = 10_000;
+
   /** Longest wait (ms) that a client may name; above it the request is malformed. */
   private static final double MAX_CLIENT_WAIT_MS = 3_600_000;
 
@@ -55,6 +58,9 @@
   private long lastRequestId;
   private long bufferedBytes;
 
+  private long droppedValues;
+  private double nextDropLogMs;
+
   /** Requests that have not ended for their clients. */
   private long openRequests;
 
@@ -186,6 +192,15 @@
     return true;
   }
 
+  /** A value is dropped, as its client reads so slowly that there is no room for it. */
+  void valueDropped() {
+    droppedValues++;
+    if (loop.nowMs() >= nextDropLogMs) {
+      nextDropLogMs = loop.nowMs() + DROP_LOG_INTERVAL_MS;
+      loop.logLine("clients read too slowly: values dropped since the start: " + droppedValues);
+    }
+  }
+
   /** One request has ended for its client. */
   void requestClosed() {
     openRequests--;
