End a client's connection behind the reads of the pass, so that no command is dropped

Cause: closeGracefully ended a connection right after its last response and ignored what came. Netty's epoll channel reads at least once on an event that was taken in the same pass, whatever autoRead says; and a command may lie in one read behind another that is answered at once. Both were read and dropped.

Change: the end is a task behind the reads of the pass; reading is off from the request to end on. What has been read by then is answered, a partially read command is completed, and the connection ends only between requests. Evictions take the same way.

Why this works: between turning reading off and the task no new event is taken, and after the task nothing is read, so a command is either answered or lies unread in the kernel, over which the close resets.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -61,6 +61,9 @@
   /** Commands that are read from now on are dropped. */
   private boolean ignoresInput;
 
+  /** The connection ends when it is between requests; what is read until then is answered. */
+  private boolean isEnding;
+
   /** Our side is closed, or will be after the last response. */
   private boolean isOutputEnding;
 
@@ -201,12 +204,13 @@
 
   /**
    * Reading is off while the client does not read its responses, with requests open in the last
-   * phase of draining, and at the end.
+   * phase of draining, and at the end, except for the rest of a command that is partially read.
    */
   void updateReading() {
     boolean isReading =
         !ignoresInput
             && !(listener.isReadingStopped() && !responses.isEmpty())
+            && !(isEnding && decoder.pendingBytes() == 0)
             && channel.isWritable();
     if (channel.config().isAutoRead() != isReading && !hasClientDisconnected) {
       channel.config().setAutoRead(isReading);
@@ -270,7 +274,7 @@
   void writeResponses() {
     responses.writeReady();
     if (responses.isEmpty()) {
-      if (listener.isClosing() || ignoresInput) {
+      if (listener.isClosing() || isEnding || ignoresInput) {
         closeGracefully();
       } else if (hasReceivedCommand) {
         listener.evictionOrder().allResponsesWritten(this, loop.nowMs());
@@ -319,19 +323,36 @@
   }
 
   /**
-   * Closes our side after what is written, then waits for the client to close its own: a reset
-   * could destroy a response. What arrives from now on stays unread, so that the close resets the
-   * connection over it: that tells the client that its request was not read, and it sends it again.
-   * Read and dropped, the request would be lost.
+   * Closes our side once the connection is between requests, then waits for the client to close its
+   * own: a reset could destroy a response. What arrives from now on stays unread, so that the close
+   * resets the connection over it: that tells the client that its request was not read, and it
+   * sends it again.
+   *
+   * <p>The end comes behind the reads of this pass of the event loop. Turning reading off does not
+   * stop a read whose event has already been taken; what it brings is answered, as a command that
+   * is read and dropped would be lost.
    */
   void closeGracefully() {
     if (!isOutputEnding && !hasClientDisconnected) {
+      isEnding = true;
+      listener.evictionOrder().remove(this);
+      updateReading();
+      loop.execute(this::endOutputBetweenRequests);
+    }
+  }
+
+  private void endOutputBetweenRequests() {
+    if (isOutputEnding || hasClientDisconnected || !channel.isActive()) {
+      return;
+    }
+    if (ignoresInput ? responses.isEmpty() : isBetweenRequests()) {
       isOutputEnding = true;
       ignoresInput = true;
-      listener.evictionOrder().remove(this);
       updateReading();
       // Behind all that is written: closing the output drops what a slow reader has not got yet.
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::endOutput);
+    } else {
+      updateReading(); // ends after the responses to what has been read meanwhile
     }
   }
 
--- /dev/null
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -0,0 +1,84 @@
+package edgenode.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What a node still owes when it ends a client's connection: a response to each command it read.
+ */
+class ConnectionEndTest extends EdgeNodeFixture {
+  @BeforeEach
+  void enableAdmin() {
+    hasAdminAddress = true;
+  }
+
+  private static String refusedRequest(String id) {
+    String list = "c=refuse,t=p,d=4000,units=1,spread=3,first=1";
+    return String.format(
+        "*4\r\n$8\r\nCALL.GET\r\n$16\r\n%s\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n",
+        CUSTOMER, id.length(), id, list.length(), list);
+  }
+
+  /** Drains the node, and waits until connections are closed after their last response. */
+  private void drainUntilConnectionsAreClosed() throws Exception {
+    FakePeer.Connection idle = connectClient();
+    idle.writeCommand("PING");
+    assertEquals(List.of("+PONG"), idle.readMessage());
+    AdminClient.call(node.adminAddress(), "PUT /api/evacuate");
+    assertTrue(idle.isClosedByPeer());
+  }
+
+  /**
+   * Guards against a command that was read and dropped: the event loop found the last response of a
+   * connection and the client's next command in one pass, ended the connection after the response,
+   * and read the command all the same.
+   */
+  @Test
+  void commandReadInThePassThatEndsItsConnectionIsAnswered() throws Exception {
+    start();
+    FakePeer.Connection client = connectClient();
+    sendGet(client, "01", "read", 4000);
+    expectArrival(1, "read");
+    assertEquals("01", serverConnection.readMessage().get(2));
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection stalling = connectClient();
+    sendGet(stalling, "02", "stall", 4000);
+    expectArrival(2, "stall"); // the loop is busy: what comes now is found in one pass
+    serverConnection.writeAppServerValue("v");
+    client.write(refusedRequest("03"));
+    stallLatch.countDown();
+    assertEquals(List.of("v"), client.readMessage());
+    assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
+
+  /** The same with a first command that is answered at once, both in one read. */
+  @Test
+  void commandBehindOneAnsweredAtOnceIsAnswered() throws Exception {
+    start();
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection client = connectClient();
+    client.write("*1\r\n$4\r\nPING\r\n" + refusedRequest("02"));
+    assertEquals(List.of("-ERR draining"), client.readMessage());
+    assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
+
+  /** Half a command behind one that is answered at once is completed and answered, too. */
+  @Test
+  void partialCommandBehindTheLastResponseIsAnswered() throws Exception {
+    start();
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection client = connectClient();
+    String request = refusedRequest("02");
+    client.write("*1\r\n$4\r\nPING\r\n" + request.substring(0, 20));
+    assertEquals(List.of("-ERR draining"), client.readMessage());
+    client.write(request.substring(20));
+    assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
+}
