Close a connection only once the peer has all that was written on it

Cause: written to the kernel was taken for received. A connection was closed 200 ms after its last write, at an eviction at once, and a close over an unread command resets it, which drops what the kernel still holds.

Change: Transport.deliveryOf asks TCP_INFO what is acknowledged; GracefulChannelClose closes once all is, or after 5 s without an acknowledged byte; clients' connections and the operators' calls end by it; an eviction closes at once only what is delivered.

--- a/src/main/java/edgenode/admin/AdminHttpServer.java
+++ b/src/main/java/edgenode/admin/AdminHttpServer.java
@@ -1,14 +1,13 @@
 package edgenode.admin;
 
 import edgenode.eventloop.EdgeEventLoop;
+import edgenode.eventloop.GracefulChannelClose;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -57,7 +56,7 @@
   private static final long CALL_TIMEOUT_MS = 10_000;
 
   /** Time for the caller to close its side after the response (ms). */
-  private static final long CLOSE_GRACE_MS = 500;
+  private static final double CLOSE_GRACE_MS = 500;
 
   private final EdgeEventLoop eventLoop;
   private final AdminOperations operations;
@@ -246,16 +245,8 @@
         response.headers().set(HttpHeaderNames.ALLOW, allowedMethod.name());
       }
       connections.remove(ctx.channel()); // answered: it does not count at the limit any more
-      ctx.writeAndFlush(response)
-          .addListener((ChannelFutureListener) written -> closeGracefully(written.channel()));
-    }
-
-    /** Closes our side first: closing at once with bytes unread would reset the connection. */
-    private static void closeGracefully(Channel channel) {
-      if (channel instanceof DuplexChannel duplex) {
-        duplex.shutdownOutput();
-      }
-      channel.eventLoop().schedule(() -> channel.close(), CLOSE_GRACE_MS, TimeUnit.MILLISECONDS);
+      ctx.write(response);
+      GracefulChannelClose.start(eventLoop, ctx.channel(), CLOSE_GRACE_MS);
     }
 
     private static String errorJson(String message) {
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -2,12 +2,12 @@
 
 import edgenode.eventloop.DeliveryProgress;
 import edgenode.eventloop.EdgeEventLoop;
+import edgenode.eventloop.GracefulChannelClose;
 import edgenode.net.resp.RespCodec;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
@@ -16,7 +16,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 
 /** One client's connection: reads its commands, and closes it. On the event loop only. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
@@ -30,14 +29,11 @@
   private static final int MAX_UNANSWERED_COMMANDS = 4096;
 
   /** Time (ms) for the client to close its side after we have closed ours. */
-  private static final int LINGER_MS = 200;
+  private static final double LINGER_MS = 200;
 
   /** A client that takes nothing of its responses for this time (ms) is disconnected. */
   private static final double STALL_TIMEOUT_MS = 60_000;
 
-  /** The same once the node closes connections. */
-  private static final double CLOSING_STALL_TIMEOUT_MS = 5000;
-
   /** While reading is off, interval (ms) at which it is checked whether the client disconnected. */
   private static final double DISCONNECT_CHECK_INTERVAL_MS = 50;
 
@@ -120,7 +116,7 @@
       return;
     }
     double timeoutMs =
-        listener.isClosing() || isOutputEnding ? CLOSING_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
+        listener.isClosing() ? GracefulChannelClose.STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
     if (progress.stalledMs() > timeoutMs) {
       channel.close();
     }
@@ -308,13 +304,16 @@
   // ---- end ----
 
   /**
-   * Makes room for another connection. Where the client has read all it was sent a while ago, the
-   * connection is closed at once: after a graceful close it would keep its descriptor until the
+   * Makes room for another connection. Where the client's system has all it was sent a while ago,
+   * the connection is closed at once: after a graceful close it would keep its descriptor until the
    * client closes too. Where it may not have, a reset could destroy a response.
    */
   void evict() {
-    boolean isAllRead = loop.nowMs() - listener.evictionOrder().remove(this) > LINGER_MS;
-    if (isAllRead && channel.unsafe().outboundBuffer() != null && !responses.hasUndelivered()) {
+    boolean isIdle = loop.nowMs() - listener.evictionOrder().remove(this) > LINGER_MS;
+    if (isIdle
+        && channel.isActive()
+        && !responses.hasUndelivered()
+        && loop.transport().deliveryOf(channel).isComplete()) {
       ignoresInput = true;
       channel.close();
     } else {
@@ -349,28 +348,16 @@
       isOutputEnding = true;
       ignoresInput = true;
       updateReading();
-      // Behind all that is written: closing the output drops what a slow reader has not got yet.
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::endOutput);
+      GracefulChannelClose.start(loop, channel, LINGER_MS);
     } else {
       updateReading(); // ends after the responses to what has been read meanwhile
     }
   }
 
-  private void endOutput(Future<? super Void> written) {
-    if (channel instanceof DuplexChannel duplex) {
-      duplex.shutdownOutput();
-    }
-    channel.eventLoop().schedule(this::closeChannel, LINGER_MS, TimeUnit.MILLISECONDS);
-  }
-
   private void closeAfterWrite(Future<? super Void> written) {
     channel.close();
   }
 
-  private void closeChannel() {
-    channel.close();
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     listener.connectionClosed(this);
--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -3,14 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/**
- * What a node still owes when it ends a client's connection: a response to each command it read.
- */
+/** What a node still owes when it ends a client's connection: each command, each written byte. */
 class ConnectionEndTest extends EdgeNodeFixture {
+  private static final int LONG_VALUE_BYTES = 600_000;
+
   @BeforeEach
   void enableAdmin() {
     hasAdminAddress = true;
@@ -81,4 +83,70 @@
     assertEquals(List.of("-BUSY 1500"), client.readMessage());
     assertTrue(client.isClosedByPeer());
   }
+
+  private FakePeer.Connection connectSlowReader() throws Exception {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(16 << 10); // else the kernel takes the whole value
+    socket.connect(
+        new InetSocketAddress("127.0.0.1", ((InetSocketAddress) node.address()).getPort()));
+    FakePeer.Connection client = new FakePeer.Connection(socket);
+    resources.add(client);
+    return client;
+  }
+
+  private void serveLongValue(FakePeer.Connection client) throws Exception {
+    sendGet(client, "01", "read", 4000);
+    assertEquals("01", serverConnection.readMessage().get(2));
+    serverConnection.writeAppServerValue("x".repeat(LONG_VALUE_BYTES));
+    figure("/requests/read/served", "1");
+  }
+
+  /**
+   * Guards against a value that was cut off in a drain: the connection was closed 200 ms after its
+   * last write, and the reset over an unread command dropped what the kernel still held.
+   */
+  @Test
+  void valueIsCompleteWhereItsClientReadsSlowlyInADrain() throws Exception {
+    start();
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection client = connectSlowReader();
+    serveLongValue(client);
+    Thread.sleep(100);
+    client.write(refusedRequest("02"));
+    Thread.sleep(1000); // the delay is what is tested
+    assertEquals(LONG_VALUE_BYTES, client.readMessage().get(0).length());
+    assertTrue(client.isClosedByPeer());
+  }
+
+  /**
+   * Guards against a value that was cut off by an eviction: a client that had been sent its value a
+   * while ago was closed at once, over its next command, though its system had not received all.
+   */
+  @Test
+  void valueAndNextCommandAreCompleteWhereTheClientIsEvicted() throws Exception {
+    maxDescriptors = 80; // 22 connections: half of the 55 % share at such a low limit
+    start();
+    FakePeer.Connection client = connectSlowReader();
+    serveLongValue(client);
+    for (int i = 0; i < 20; i++) {
+      FakePeer.Connection other = connectClient();
+      other.writeCommand("PING");
+      assertEquals(List.of("+PONG"), other.readMessage());
+    }
+    Thread.sleep(500); // the value was written a while ago
+    FakePeer.Connection stalling = connectClient();
+    sendGet(stalling, "02", "stall", 4000);
+    expectArrival(1, "read");
+    expectPolicyEvent("ended 1 0 OK true");
+    expectArrival(2, "stall"); // the loop is busy: what comes now is found in one pass
+    FakePeer.Connection overLimit = connectClient();
+    client.write(refusedRequest("03"));
+    stallLatch.countDown();
+    overLimit.writeCommand("PING");
+    assertEquals(List.of("+PONG"), overLimit.readMessage());
+    Thread.sleep(500); // the delay is what is tested
+    assertEquals(LONG_VALUE_BYTES, client.readMessage().get(0).length());
+    assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
 }
