Bound partial messages, and have allocations beyond the direct memory fail at once

A client could hold 1 MiB by one command that it does not finish, on each of 560 connections, for 2.5 s; an endpoint's response could grow as far for 250 ms. And with direct memory used up, each allocation sleeps for half a second on the event loop (Bits.reserveMemory) before it fails.

Change: PartialMessageBudget, 80 KiB for one message, 8 MiB for all client connections and as much for all to endpoints; the connection whose message has grown gets an error, or its attempt fails. After an error input is no longer decoded.

Tests: two of PartialMessageTest failed before; the third, on an endpoint's response, passed, as its attempt failed after 250 ms.

--- a/src/main/java/edgenode/Main.java
+++ b/src/main/java/edgenode/Main.java
@@ -46,6 +46,7 @@
    * exits with code 2.
    */
   public static void main(String[] args) throws IOException {
+    useNonBlockingDirectBuffers();
     String command = args.length == 0 ? "" : args[0];
     if (command.equals("serve") && isServeCall(args)) {
       new ServeCommand().run(args.length == 3 ? args[2] : null);
@@ -67,6 +68,15 @@
     }
   }
 
+  /**
+   * Has Netty allocate direct buffers by itself, before it is loaded: where the limit is reached,
+   * an allocation fails at once. That of java.nio first sleeps for half a second, on the event
+   * loop. Netty needs java.nio opened for it, as the jar's manifest does.
+   */
+  private static void useNonBlockingDirectBuffers() {
+    System.setProperty("io.netty.tryReflectionSetAccessible", "true");
+  }
+
   /** Whether a command is called by its name or by the name that it had before. */
   private static boolean isName(String command, String name, String formerName) {
     return command.equals(name) || command.equals(formerName);
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -3,6 +3,7 @@
 import edgenode.eventloop.DeliveryProgress;
 import edgenode.eventloop.EdgeEventLoop;
 import edgenode.eventloop.GracefulChannelClose;
+import edgenode.net.resp.PartialMessageBudget;
 import edgenode.net.resp.RespCodec;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -48,6 +49,7 @@
   private final ResponseQueue responses;
   private final double acceptedAtMs;
   private final RespCodec.UndecodedByteCounter decoder;
+  private final PartialMessageBudget.Share partialCommand;
 
   /** Since when a complete command is waited for (ms), or {@link #NOT_WAITING}. */
   private double waitingSinceMs;
@@ -79,6 +81,7 @@
     acceptedAtMs = loop.nowMs();
     waitingSinceMs = acceptedAtMs;
     decoder = RespCodec.addCodec(channel.pipeline(), MAX_COMMAND_ELEMENTS);
+    partialCommand = listener.partialCommands().newShare();
     channel.pipeline().addLast(this);
   }
 
@@ -187,6 +190,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (!ignoresInput && !partialCommand.update(decoder.pendingBytes())) {
+      rejectInput("too many bytes without a whole command");
+    }
     if (decoder.pendingBytes() == 0) {
       waitingSinceMs = hasReceivedCommand ? NOT_WAITING : waitingSinceMs;
     } else {
@@ -256,6 +262,8 @@
   void rejectInput(String reason) {
     if (!ignoresInput) {
       ignoresInput = true;
+      decoder.discardInput();
+      partialCommand.release();
       ResponseSlot last = new ResponseSlot(this);
       responses.add(last);
       responses.failOpenRequests();
@@ -361,6 +369,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     listener.connectionClosed(this);
+    partialCommand.release();
     responses.closed();
     listener.enforceConnectionLimit();
     loop.flushPending();
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -1,6 +1,7 @@
 package edgenode.net.downstream;
 
 import edgenode.eventloop.EdgeEventLoop;
+import edgenode.net.resp.PartialMessageBudget;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -35,6 +36,7 @@
   /** The connections that are not closing. */
   private final EvictionOrder<ClientConnection> evictionOrder = new EvictionOrder<>();
 
+  private final PartialMessageBudget partialCommands = new PartialMessageBudget();
   private final ResponseBufferBudget responseBudget = new ResponseBufferBudget();
 
   /** Null until the address is bound. */
@@ -224,6 +226,10 @@
     return requestHandler;
   }
 
+  PartialMessageBudget partialCommands() {
+    return partialCommands;
+  }
+
   ResponseBufferBudget responseBudget() {
     return responseBudget;
   }
--- a/src/main/java/edgenode/net/resp/RespCodec.java
+++ b/src/main/java/edgenode/net/resp/RespCodec.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -83,6 +84,7 @@
    */
   public static final class UndecodedByteCounter extends ChannelInboundHandlerAdapter {
     private long pendingBytes;
+    private boolean isDiscarding;
     private LongValueDecoder longValueDecoder;
 
     /** The number of these bytes. */
@@ -90,8 +92,17 @@
       return pendingBytes;
     }
 
+    /** What comes from now on is not decoded, and so not buffered. */
+    public void discardInput() {
+      isDiscarding = true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      if (isDiscarding) {
+        ReferenceCountUtil.release(msg);
+        return;
+      }
       pendingBytes += ((ByteBuf) msg).readableBytes();
       ctx.fireChannelRead(msg);
     }
--- a/src/main/java/edgenode/net/upstream/UpstreamConnection.java
+++ b/src/main/java/edgenode/net/upstream/UpstreamConnection.java
@@ -2,6 +2,7 @@
 
 import edgenode.eventloop.EdgeEventLoop;
 import edgenode.net.resp.LongValueDecoder;
+import edgenode.net.resp.PartialMessageBudget;
 import edgenode.net.resp.RespCodec;
 import edgenode.policy.CallOutcome;
 import io.netty.channel.Channel;
@@ -35,6 +36,7 @@
   private final EndpointConnections endpoint;
   private Channel channel;
   private RespCodec.UndecodedByteCounter undecodedBytes;
+  private final PartialMessageBudget.Share partialResponse;
 
   /** The attempt whose response is awaited, or null. */
   private UpstreamAttempt currentAttempt;
@@ -60,6 +62,7 @@
     this.eventLoop = eventLoop;
     this.responseReader = responseReader;
     this.endpoint = endpoint;
+    partialResponse = pool.partialResponses().newShare();
   }
 
   /** Adds the codec and this handler to a new channel's pipeline. */
@@ -220,8 +223,11 @@
       return;
     }
     boolean hasUndecodedBytes = undecodedBytes.pendingBytes() != 0;
+    boolean isWithinBudget = partialResponse.update(undecodedBytes.pendingBytes());
     if (currentAttempt == null && hasUndecodedBytes) {
       channel.close();
+    } else if (!isWithinBudget) {
+      failMalformed(currentAttempt);
     } else if (hasResponded) {
       release();
     } else if (currentAttempt != null && hasUndecodedBytes && !isPartialResponseTimerSet) {
@@ -245,6 +251,7 @@
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     pool.connectionClosed(this, endpoint);
+    partialResponse.release();
     abortTransfer();
     UpstreamAttempt attempt = currentAttempt;
     currentAttempt = null;
--- a/src/main/java/edgenode/net/upstream/UpstreamConnectionPool.java
+++ b/src/main/java/edgenode/net/upstream/UpstreamConnectionPool.java
@@ -5,6 +5,7 @@
 import edgenode.eventloop.Transport;
 import edgenode.membership.DiscoveredEndpoint;
 import edgenode.membership.EndpointHealthListener;
+import edgenode.net.resp.PartialMessageBudget;
 import edgenode.policy.CallOutcome;
 import edgenode.policy.EndpointState;
 import io.netty.bootstrap.Bootstrap;
@@ -54,6 +55,7 @@
   private final NodeConfig config;
   private final int maxConnections;
   private final ResponseReader responseReader;
+  private final PartialMessageBudget partialResponses = new PartialMessageBudget();
   private final Map<String, EndpointConnections> endpoints = new HashMap<>();
   private final CompletableFuture<Void> whenReady = new CompletableFuture<>();
 
@@ -90,6 +92,10 @@
                     MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES));
   }
 
+  PartialMessageBudget partialResponses() {
+    return partialResponses;
+  }
+
   /** Completed once all connects that the first endpoint list caused have succeeded or failed. */
   public CompletableFuture<Void> whenReady() {
     return whenReady;
--- /dev/null
+++ b/src/test/java/edgenode/node/PartialMessageTest.java
@@ -0,0 +1,72 @@
+package edgenode.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Peers that send large parts of messages, and not the rest. */
+class PartialMessageTest extends EdgeNodeFixture {
+  private static final String TOO_MANY_BYTES = "-ERR too many bytes without a whole command";
+  private static final String LONG_VALUE = "v".repeat(64 << 10);
+
+  @BeforeEach
+  void useManyConnections() {
+    maxDescriptors = 1024;
+  }
+
+  private static String partialCommand(int values) {
+    return "*16\r\n" + ("$65536\r\n" + LONG_VALUE + "\r\n").repeat(values) + "$65536\r\n";
+  }
+
+  /** Guards against one partial command of 1 MiB: 32 clients had used up the direct memory. */
+  @Test
+  void partialCommandBeyondItsBoundIsRejected() throws Exception {
+    start();
+    FakePeer.Connection client = connectClient();
+    client.write(partialCommand(3));
+    assertEquals(List.of(TOO_MANY_BYTES), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
+
+  /**
+   * Guards against partial commands without a bound for all connections together; a client with a
+   * short command is not affected.
+   */
+  @Test
+  void partialCommandsAreBoundedTogether() throws Exception {
+    start();
+    List<FakePeer.Connection> slowWriters = new ArrayList<>();
+    for (int i = 0; i < 200; i++) {
+      FakePeer.Connection slowWriter = connectClient();
+      slowWriters.add(slowWriter);
+      slowWriter.write(partialCommand(1)); // 12.5 MiB together, where 8 MiB are allowed
+    }
+    FakePeer.Connection ordinary = connectClient();
+    sendGet(ordinary, "01", "refuse", 900);
+    assertEquals(List.of("-BUSY 1500"), ordinary.readMessage());
+    int rejected = 0;
+    for (FakePeer.Connection slowWriter : slowWriters) {
+      rejected += slowWriter.readMessage().equals(List.of(TOO_MANY_BYTES)) ? 1 : 0;
+    }
+    // The others are rejected later, as no whole command came.
+    assertTrue(rejected >= 60 && rejected <= 80, rejected + " of 200");
+  }
+
+  /** A response that grows without an end ends its attempt before its time is up. */
+  @Test
+  void partialResponseBeyondItsBoundFailsTheAttempt() throws Exception {
+    start();
+    FakePeer.Connection client = connectClient();
+    sendGet(client, "01", "read", 9000);
+    expectArrival(1, "read");
+    serverConnection.readMessage();
+    serverConnection.write("*3\r\n$65536\r\n" + LONG_VALUE + "\r\n$65536\r\n" + LONG_VALUE);
+    expectPolicyEvent("ended 1 0 ERROR false");
+    assertEquals(List.of("-ERR failed"), client.readMessage());
+    assertTrue(serverConnection.isClosedByPeer());
+  }
+}
