End a connection gracefully where a value breaks off, so that responses before it are complete

Cause: abortStream closed the connection at once; over an unread command that is a reset, and whole responses before the broken value that the kernel still held went with it. Change: the connection ends as any other, and requests behind the value, which can get no response, are given up at once.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -5,7 +5,6 @@
 import edgenode.eventloop.GracefulChannelClose;
 import edgenode.net.resp.PartialMessageBudget;
 import edgenode.net.resp.RespCodec;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -15,7 +14,6 @@
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.handler.codec.redis.SimpleStringRedisMessage;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 
 /** One client's connection: reads its commands, and closes it. On the event loop only. */
@@ -292,8 +290,8 @@
   /** See {@link ResponseSlot#abortStreaming}. */
   void abortStream(ResponseSlot slot) {
     if (slot.isHeaderWritten()) {
-      ignoresInput = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::closeAfterWrite);
+      endOutput();
+      responses.failOpenRequests(); // what comes behind a part of a value cannot be told from it
     } else {
       slot.dropStream();
       slot.respond(new ErrorRedisMessage("ERR failed"));
@@ -353,17 +351,20 @@
       return;
     }
     if (ignoresInput ? responses.isEmpty() : isBetweenRequests()) {
-      isOutputEnding = true;
-      ignoresInput = true;
-      updateReading();
-      GracefulChannelClose.start(loop, channel, LINGER_MS);
+      endOutput();
     } else {
       updateReading(); // ends after the responses to what has been read meanwhile
     }
   }
 
-  private void closeAfterWrite(Future<? super Void> written) {
-    channel.close();
+  private void endOutput() {
+    if (!isOutputEnding) {
+      isOutputEnding = true;
+      ignoresInput = true;
+      listener.evictionOrder().remove(this);
+      updateReading();
+      GracefulChannelClose.start(loop, channel, LINGER_MS);
+    }
   }
 
   @Override
--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import edgenode.drain.DrainController;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.List;
@@ -149,4 +150,34 @@
     assertEquals(List.of("-BUSY 1500"), client.readMessage());
     assertTrue(client.isClosedByPeer());
   }
+
+  /**
+   * Guards against whole responses that were cut off where the value behind them broke off: the
+   * connection was closed at once, over an unread command.
+   */
+  @Test
+  void responseBeforeABrokenValueIsComplete() throws Exception {
+    start();
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection client = connectSlowReader();
+    sendGet(client, "01", "read", 4000);
+    sendGet(client, "02", "read", 4000);
+    FakePeer.Connection second = appServer.accept();
+    List<FakePeer.Connection> byNumber =
+        serverConnection.readMessage().get(2).equals("01")
+            ? List.of(serverConnection, second)
+            : List.of(second, serverConnection);
+    byNumber.get(0).writeAppServerValue("x".repeat(LONG_VALUE_BYTES));
+    byNumber.get(1).write("*3\r\n$200000\r\n" + "y".repeat(1000));
+    figure("/requests/read/served", "1");
+    Thread.sleep(
+        (long) (DrainController.STOP_READING_AFTER_MS - DrainController.NOT_READY_MS) + 200);
+    client.write(refusedRequest("03")); // unread, as a request before it is open
+    byNumber.get(1).close();
+    figure("/requests/read/failed", "1");
+    Thread.sleep(500); // the delay is what is tested
+    assertEquals(LONG_VALUE_BYTES, client.readMessage().get(0).length());
+    assertEquals("$200000", client.readLine());
+    assertTrue(client.input.readAllBytes().length <= 1000);
+  }
 }
