net.downstream: standard terms for buffered responses

Need: names and comments of the new response budget used a word that CONVENTIONS.md replaces (room). Change: startWhenBufferFree, canBuffer, toBufferedMessage; comments say buffered.

--- a/src/main/java/edgenode/eventloop/DeliveryProgress.java
+++ b/src/main/java/edgenode/eventloop/DeliveryProgress.java
@@ -5,8 +5,8 @@
 
 /**
  * Tells a peer that reads slowly from one that has stopped to. The acknowledged bytes count, too:
- * the kernel reports room to write only when a large part of its buffer is free, which takes a slow
- * peer many seconds. On the event loop only.
+ * the kernel reports a socket as writable only when a large part of its buffer is free, which takes
+ * a slow peer many seconds. On the event loop only.
  */
 public final class DeliveryProgress {
   private final EdgeEventLoop loop;
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -291,7 +291,7 @@
   void abortStream(ResponseSlot slot) {
     if (slot.isHeaderWritten()) {
       endOutput();
-      responses.failOpenRequests(); // what comes behind a part of a value cannot be told from it
+      responses.failOpenRequests(); // what comes behind a part of a value cannot be distinguished
     } else {
       slot.dropStream();
       slot.respond(new ErrorRedisMessage("ERR failed"));
@@ -302,7 +302,7 @@
   public void channelWritabilityChanged(ChannelHandlerContext ctx) {
     responses.updateFlow();
     if (responses.isReadyToWrite()) {
-      loop.execute(this::writeResponses); // not within the flush that made room
+      loop.execute(this::writeResponses); // not within the flush that made the channel writable
     }
     updateReading();
   }
--- a/src/main/java/edgenode/net/downstream/ResponseBufferBudget.java
+++ b/src/main/java/edgenode/net/downstream/ResponseBufferBudget.java
@@ -4,14 +4,15 @@
 
 /**
  * Bounds the bytes of responses that the kernel has not taken, as their clients read slowly: for
- * all connections together, and for one of them. A connection may hold a part of what is free, so
+ * all connections together, and for one of them. A connection may have a part of what is free, so
  * that a few slow clients get much and many get little each, and some is always left for the others
  * (dynamic thresholds: A. K. Choudhury, E. L. Hahne, "Dynamic queue length thresholds for
  * shared-memory packet switches", IEEE/ACM Transactions on Networking 6(2), 1998).
  *
  * <p>A request is started, and a streamed value goes on, while the connection has less than an
- * eighth of what is free. A response that has come, and cannot be written at once, is held while
- * its connection has less than all that is free. On the event loop only; each call costs O(1).
+ * eighth of what is free. A response that has come, and cannot be written at once, is buffered
+ * while its connection has less than all that is free. On the event loop only; each call costs
+ * O(1).
  */
 final class ResponseBufferBudget {
   /** Limit for all connections together. */
@@ -72,11 +73,11 @@
   }
 
   /**
-   * Whether a response that cannot be written yet may be held.
+   * Whether a response that cannot be written yet may be buffered.
    *
    * @param connectionBytes that are buffered for its connection
    */
-  boolean canHold(long connectionBytes, int responseBytes) {
+  boolean canBuffer(long connectionBytes, int responseBytes) {
     return connectionBytes + responseBytes <= MAX_TOTAL_BYTES - bufferedBytes;
   }
 }
--- a/src/main/java/edgenode/net/downstream/ResponseQueue.java
+++ b/src/main/java/edgenode/net/downstream/ResponseQueue.java
@@ -12,8 +12,8 @@
 
 /**
  * Writes the responses of one connection in the order of its commands. What the client does not
- * take yet is held within the {@link ResponseBufferBudget}, and commands whose responses would not
- * fit are started later. On the event loop only.
+ * take yet is buffered within the {@link ResponseBufferBudget}, and commands whose responses would
+ * not fit are started later. On the event loop only.
  */
 final class ResponseQueue {
   private static final byte[] END_OF_LINE = {'\r', '\n'};
@@ -23,13 +23,13 @@
   private final ResponseBufferBudget budget;
   private final ArrayDeque<ResponseSlot> slots = new ArrayDeque<>();
 
-  /** Slots whose command is not started yet, for want of room for its response. */
+  /** Slots whose command is not started yet, as its response could not be buffered. */
   private final ArrayDeque<ResponseSlot> unstartedSlots = new ArrayDeque<>();
 
   /** Requests that are started and have no response yet. */
   private int startedRequests;
 
-  /** Bytes of responses that are held here or in the channel. */
+  /** Bytes of responses that are buffered here or in the channel. */
   private long bufferedBytes;
 
   private boolean isStartScheduled;
@@ -75,17 +75,17 @@
   // ---- starting requests ----
 
   /**
-   * Starts the slot's command, now or once there is room for its response.
+   * Starts the slot's command, now or once its response can be buffered.
    *
    * @return whether it has been started
    */
-  boolean startWhenRoom(ResponseSlot slot) {
+  boolean startWhenBufferFree(ResponseSlot slot) {
     unstartedSlots.add(slot);
     startUnstarted();
     return !slot.isUnstarted();
   }
 
-  /** Starts commands, in their order, while there is room for their responses. */
+  /** Starts commands, in their order, while their responses can be buffered. */
   void startUnstarted() {
     while (!unstartedSlots.isEmpty() && budget.canStart(bufferedBytes, startedRequests)) {
       startedRequests++;
@@ -122,9 +122,9 @@
     }
   }
 
-  /** Whether a value of this size can be written now, or held until it can. */
-  boolean hasRoomFor(ResponseSlot slot, int valueBytes) {
-    return canWriteAtOnce(slot) || budget.canHold(bufferedBytes, valueBytes);
+  /** Whether a value of this size can be written now, or buffered until then. */
+  boolean canBuffer(ResponseSlot slot, int valueBytes) {
+    return canWriteAtOnce(slot) || budget.canBuffer(bufferedBytes, valueBytes);
   }
 
   // ---- buffering ----
@@ -135,9 +135,9 @@
 
   /**
    * Returns the message in the form in which it can wait for its client. A value is copied: its
-   * bytes are part of a larger read buffer, which would be held with them.
+   * bytes are part of a larger read buffer, which would be retained with them.
    */
-  RedisMessage toHeldMessage(ResponseSlot slot, RedisMessage message) {
+  RedisMessage toBufferedMessage(ResponseSlot slot, RedisMessage message) {
     if (canWriteAtOnce(slot) || !(message instanceof FullBulkStringRedisMessage value)) {
       return message;
     }
--- a/src/main/java/edgenode/net/downstream/ResponseSlot.java
+++ b/src/main/java/edgenode/net/downstream/ResponseSlot.java
@@ -15,13 +15,13 @@
 
   private final ClientConnection connection;
 
-  /** Starts the command once there is room for its response; null before and after. */
+  /** Starts the command once its response can be buffered; null before and after. */
   private Runnable startTask;
 
   /** The command is started, and has no response yet. */
   private boolean isAwaitingResponse;
 
-  /** Bytes of the response that are held here. */
+  /** Bytes of the response that are buffered here. */
   private long bufferedBytes;
 
   /** Null until there is a response that is not streamed. */
@@ -51,14 +51,14 @@
   }
 
   /**
-   * Starts the work on the command, now or once there is room for its response among those that the
+   * Starts the work on the command, now or once its response can be buffered with those that the
    * clients have not read. A command that is answered before that is not started.
    *
    * @return whether it has been started
    */
-  public boolean startWhenRoom(Runnable task) {
+  public boolean startWhenBufferFree(Runnable task) {
     startTask = task;
-    return connection.responses().startWhenRoom(this);
+    return connection.responses().startWhenBufferFree(this);
   }
 
   void start() {
@@ -68,17 +68,17 @@
     task.run();
   }
 
-  /** Whether the command waits for room for its response. */
+  /** Whether the command waits until its response can be buffered. */
   public boolean isUnstarted() {
     return startTask != null;
   }
 
   /**
-   * Whether there is room for a value that has come for the command. Without it, the client reads
-   * so slowly that {@link #respond} has to be given an error instead.
+   * Whether a value that has come for the command can be written or buffered. If not, its client
+   * reads so slowly that {@link #respond} has to be given an error instead.
    */
-  public boolean hasRoomFor(int valueBytes) {
-    return connection.responses().hasRoomFor(this, valueBytes);
+  public boolean canBuffer(int valueBytes) {
+    return connection.responses().canBuffer(this, valueBytes);
   }
 
   /** The command needs no more work: it is not started, or what was started has ended. */
@@ -106,7 +106,7 @@
     endStart();
     int valueBytes = RespCodec.valueBytes(message);
     connection.responses().valueReceived(valueBytes);
-    response = connection.responses().toHeldMessage(this, message);
+    response = connection.responses().toBufferedMessage(this, message);
     buffered(valueBytes);
     connection.writeResponses();
   }
@@ -224,7 +224,7 @@
     return chunk;
   }
 
-  /** Bytes of the response that are held here; those in the channel do not count. */
+  /** Bytes of the response that are buffered here; those in the channel do not count. */
   long bufferedBytes() {
     return bufferedBytes;
   }
--- a/src/main/java/edgenode/node/DuplicateRequestHandler.java
+++ b/src/main/java/edgenode/node/DuplicateRequestHandler.java
@@ -75,7 +75,7 @@
 
     void leaderResponded(ReplayableResponse response) {
       ReplayableResponse replayed = response == null ? RESPONSE_NOT_CACHED : response;
-      if (!slot.hasRoomFor(replayed.sizeBytes())) {
+      if (!slot.canBuffer(replayed.sizeBytes())) {
         replayed = RESPONSE_NOT_CACHED; // its client reads too slowly
       }
       finish(replayed.ledgerOutcome());
--- a/src/main/java/edgenode/node/PendingRequest.java
+++ b/src/main/java/edgenode/node/PendingRequest.java
@@ -34,8 +34,8 @@
   private static final double POLICY_GRACE_MS = 8;
 
   /**
-   * Part of its time that a request may wait for room for its response. A later rejection would
-   * leave its client too little time to ask elsewhere.
+   * Part of its time that a request may wait until its response can be buffered. A later rejection
+   * would leave its client too little time to ask elsewhere.
    */
   private static final double MAX_START_DELAY_SHARE = 0.5;
 
@@ -127,15 +127,15 @@
     counters.requestAccepted();
     scheduleDeadline(budgetMs);
     if (isLeader) {
-      table.duplicates.whenKeyPersisted(id, this::startWhenRoom);
+      table.duplicates.whenKeyPersisted(id, this::startWhenBufferFree);
     } else {
-      startWhenRoom();
+      startWhenBufferFree();
     }
   }
 
   /** A request waits while its client has not read the responses before it. */
-  private void startWhenRoom() {
-    if (!isFinished && !slot.startWhenRoom(this::notifyArrival)) {
+  private void startWhenBufferFree() {
+    if (!isFinished && !slot.startWhenBufferFree(this::notifyArrival)) {
       double maxWaitMs = MAX_START_DELAY_SHARE * (deadlineMs - table.loop.nowMs());
       table.loop.schedule(maxWaitMs, this::rejectIfUnstarted);
     }
@@ -361,7 +361,7 @@
   }
 
   private void respondWithValue(RedisMessage value) {
-    if (hasNoClient || slot.hasRoomFor(RespCodec.valueBytes(value))) {
+    if (hasNoClient || slot.canBuffer(RespCodec.valueBytes(value))) {
       respond(RequestOutcome.SERVED, ReferenceCountUtil.retain(value));
     } else {
       table.valueDropped();
--- a/src/main/java/edgenode/node/RequestTable.java
+++ b/src/main/java/edgenode/node/RequestTable.java
@@ -192,7 +192,7 @@
     return true;
   }
 
-  /** A value is dropped, as its client reads so slowly that there is no room for it. */
+  /** A value is dropped, as its client reads so slowly that it cannot be buffered. */
   void valueDropped() {
     droppedValues++;
     if (loop.nowMs() >= nextDropLogMs) {
--- a/src/test/java/edgenode/net/downstream/ResponseBufferBudgetProperties.java
+++ b/src/test/java/edgenode/net/downstream/ResponseBufferBudgetProperties.java
@@ -14,54 +14,54 @@
   private static final int CONNECTIONS = 40;
   private static final int MAX_VALUE_BYTES = 64 << 10;
 
-  /** Responses that are held stay under the limit, and no connection has more than half of it. */
+  /** Buffered responses stay under the limit, and no connection has more than half of it. */
   @Property(tries = 200, seed = "1")
-  void heldBytesStayWithinTheLimits(@ForAll long seed) {
+  void bufferedBytesStayWithinTheLimits(@ForAll long seed) {
     Random random = new Random(seed);
     ResponseBufferBudget budget = new ResponseBufferBudget();
-    long[] heldBytes = new long[CONNECTIONS];
+    long[] connectionBytes = new long[CONNECTIONS];
     long totalBytes = 0;
     for (int i = 0; i < 2000; i++) {
       int connection = random.nextInt(1 + random.nextInt(CONNECTIONS));
       if (random.nextInt(5) > 0) {
         int bytes = random.nextInt(MAX_VALUE_BYTES);
-        if (budget.canHold(heldBytes[connection], bytes)) {
+        if (budget.canBuffer(connectionBytes[connection], bytes)) {
           budget.add(bytes);
-          heldBytes[connection] += bytes;
+          connectionBytes[connection] += bytes;
           totalBytes += bytes;
         }
       } else {
-        long bytes = heldBytes[connection] / (1 + random.nextInt(3));
+        long bytes = connectionBytes[connection] / (1 + random.nextInt(3));
         budget.remove(bytes);
-        heldBytes[connection] -= bytes;
+        connectionBytes[connection] -= bytes;
         totalBytes -= bytes;
       }
       assertEquals(totalBytes, budget.bufferedBytes());
       assertTrue(totalBytes <= ResponseBufferBudget.MAX_TOTAL_BYTES);
-      assertTrue(heldBytes[connection] <= ResponseBufferBudget.MAX_TOTAL_BYTES / 2);
+      assertTrue(connectionBytes[connection] <= ResponseBufferBudget.MAX_TOTAL_BYTES / 2);
     }
   }
 
   /**
-   * Clients that ask for as much as they may, and read nothing, leave room for a client that has
-   * nothing buffered, also where responses are larger than those before.
+   * Clients that ask for as much as they may, and read nothing, leave capacity for a client that
+   * has nothing buffered, also where responses are larger than those before.
    */
   @Property(tries = 200, seed = "2")
-  void slowClientsLeaveRoomForOthers(@ForAll long seed) {
+  void slowClientsLeaveBufferForOthers(@ForAll long seed) {
     Random random = new Random(seed);
     ResponseBufferBudget budget = new ResponseBufferBudget();
     budget.responseReceived(MAX_VALUE_BYTES);
     int clients = 1 + random.nextInt(CONNECTIONS);
-    long[] heldBytes = new long[clients];
+    long[] connectionBytes = new long[clients];
     for (int i = 0; i < 3000; i++) {
       int client = random.nextInt(clients);
-      if (budget.canStart(heldBytes[client], 0)) {
-        heldBytes[client] += MAX_VALUE_BYTES;
+      if (budget.canStart(connectionBytes[client], 0)) {
+        connectionBytes[client] += MAX_VALUE_BYTES;
         budget.add(MAX_VALUE_BYTES);
         budget.responseReceived(MAX_VALUE_BYTES);
       }
       assertTrue(budget.canStart(0, 0));
-      assertTrue(budget.canHold(0, MAX_VALUE_BYTES));
+      assertTrue(budget.canBuffer(0, MAX_VALUE_BYTES));
     }
   }
 
@@ -86,7 +86,7 @@
     ResponseBufferBudget budget = new ResponseBufferBudget();
     budget.add(ResponseBufferBudget.MAX_TOTAL_BYTES);
     assertFalse(budget.canStart(0, 0));
-    assertFalse(budget.canHold(0, 1));
+    assertFalse(budget.canBuffer(0, 1));
     budget.remove(1);
     assertTrue(budget.canStart(0, 0));
   }
--- a/src/test/java/edgenode/node/SlowReaderTest.java
+++ b/src/test/java/edgenode/node/SlowReaderTest.java
@@ -150,9 +150,9 @@
     }
   }
 
-  /** A request that waits for room for its response is rejected while it has half of its time. */
+  /** A request that waits for buffer space is rejected while it has half of its time. */
   @Test
-  void requestWithoutRoomForItsResponseIsNotForwarded() throws Exception {
+  void requestWhoseResponseHasNoBufferIsNotForwarded() throws Exception {
     start();
     answerAllRequests();
     FakePeer.Connection client = connectSlowReader();
