Go on reading a connection whose end is called off by a command of the same pass

Where a command came in the pass that was to end its connection, reading stayed off until that was answered; what its client sent behind it lay unread until the close.

Change: the end is called off then, and reading goes on. A drain ends the connection after its last response, as it does any other; at the connection limit another connection is evicted.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -57,7 +57,7 @@
   /** Commands that are read from now on are dropped. */
   private boolean ignoresInput;
 
-  /** The connection ends when it is between requests; what is read until then is answered. */
+  /** The connection ends behind the reads of this pass, unless they bring a command. */
   private boolean isEnding;
 
   /** Our side is closed, or will be after the last response. */
@@ -204,13 +204,13 @@
 
   /**
    * Reading is off while the client does not read its responses, with requests open in the last
-   * phase of draining, and at the end, except for the rest of a command that is partially read.
+   * phase of draining, and at the end.
    */
   void updateReading() {
     boolean isReading =
         !ignoresInput
             && !(listener.isReadingStopped() && !responses.isEmpty())
-            && !(isEnding && decoder.pendingBytes() == 0)
+            && !isEnding
             && channel.isWritable();
     if (channel.config().isAutoRead() != isReading && !hasClientDisconnected) {
       channel.config().setAutoRead(isReading);
@@ -276,7 +276,7 @@
   void writeResponses() {
     responses.writeReady();
     if (responses.isEmpty()) {
-      if (listener.isClosing() || isEnding || ignoresInput) {
+      if (listener.isClosing() || ignoresInput) {
         closeGracefully();
       } else if (hasReceivedCommand) {
         listener.evictionOrder().allResponsesWritten(this, loop.nowMs());
@@ -352,9 +352,26 @@
     }
     if (ignoresInput ? responses.isEmpty() : isBetweenRequests()) {
       endOutput();
+    } else if (!ignoresInput) {
+      cancelEnd();
+    }
+  }
+
+  /**
+   * A command has been read meanwhile: its client may send others behind it, and is not to find
+   * them unread. A drain ends the connection after its last response; at the connection limit
+   * another one is evicted.
+   */
+  private void cancelEnd() {
+    isEnding = false;
+    listener.evictionOrder().connected(this, loop.nowMs());
+    if (responses.isEmpty()) {
+      listener.evictionOrder().partialCommandReceived(this, loop.nowMs());
     } else {
-      updateReading(); // ends after the responses to what has been read meanwhile
+      listener.evictionOrder().commandReceived(this, loop.nowMs());
     }
+    updateReading();
+    listener.enforceConnectionLimit();
   }
 
   private void endOutput() {
