Do not take a client for stalled while its response waits behind an unanswered command

Cause: closeIfStalled, new with the response budget, also counted responses that wait here behind an earlier command of their connection. Its client has nothing to read then; the connection was closed after 60 s, or 5 s in a drain, and the earlier request lost.

Change: only bytes in the channel, which the kernel has not taken, count. Test: ConnectionEndTest.responseThatWaitsBehindAnUnansweredCommandIsNotAStall, 8 s, failed before.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -110,9 +110,12 @@
     return responses.hasUndelivered();
   }
 
-  /** Closes the connection where its client has stopped to read its responses. */
+  /**
+   * Closes the connection where its client has stopped to read its responses. One that waits for an
+   * earlier command's response has nothing in the channel that its client could read.
+   */
   void closeIfStalled() {
-    if (!responses.hasUndelivered()) {
+    if (responses.unwrittenBytes() == 0) {
       progress.reset();
       return;
     }
--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -85,6 +85,25 @@
     assertTrue(client.isClosedByPeer());
   }
 
+  /**
+   * Guards against taking a client for one that has stopped reading, as its response waits behind
+   * an unanswered command: its connection was closed 5 s after the drain had begun.
+   */
+  @Test
+  void responseThatWaitsBehindAnUnansweredCommandIsNotAStall() throws Exception {
+    start();
+    FakePeer.Connection client = connectClient();
+    sendGet(client, "01", "hold", 8000);
+    expectArrival(1, "hold");
+    sendGet(client, "02", "read", 8000);
+    assertEquals("02", serverConnection.readMessage().get(2));
+    serverConnection.writeAppServerValue("v");
+    drainUntilConnectionsAreClosed();
+    assertEquals(List.of("-ERR failed"), client.readMessage()); // at its deadline
+    assertEquals(List.of("v"), client.readMessage());
+    assertTrue(client.isClosedByPeer());
+  }
+
   private FakePeer.Connection connectSlowReader() throws Exception {
     Socket socket = new Socket();
     socket.setReceiveBufferSize(16 << 10); // else the kernel takes the whole value
