--- a/src/test/java/edgenode/node/EdgeNodeFixture.java
+++ b/src/test/java/edgenode/node/EdgeNodeFixture.java
@@ -346,15 +346,20 @@
 
   /** Waits until a figure has a value. */
   void figure(String path, String value) throws Exception {
-    DiscoveryFixture.await(
-        path + " " + value,
-        () -> {
-          try {
-            return value.equals(figure(path));
-          } catch (IOException e) {
-            throw new AssertionError(e);
-          }
-        });
+    try {
+      DiscoveryFixture.await(
+          path + " " + value,
+          () -> {
+            try {
+              return value.equals(figure(path));
+            } catch (IOException e) {
+              throw new AssertionError(e);
+            }
+          });
+    } catch (AssertionError e) {
+      throw new AssertionError(
+          e.getMessage() + "; " + AdminClient.call(node.adminAddress(), "GET /api/telemetry"), e);
+    }
   }
 
   /** Shuts the node down on a thread of its own, and waits until that has begun. */
