--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Runs this case, see claim.txt; TROUBLE=0 leaves the disruption out.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -e target/review-2/SlowStream.class ] || { echo "not built: run the deploy file's build, then review/build-2.sh"; exit 2; }
+exec java -Xmx512m -cp target/review-2 SlowStream review/10
