--- a/review/standin-2/HalfWay.java
+++ b/review/standin-2/HalfWay.java
@@ -21,6 +21,7 @@
   private static final int PIECE_BYTES = 3000;
   private static final int PIECE_EVERY_MS = 80;
   private static final int MISSING_BYTES = 1000;
+  private static final int COME_AGAIN_AFTER_MS = 1000;
   private static final int CALM_MS = 3000;
   private static final int TROUBLE_MS = 12_000;
   private static final int REQUEST_EVERY_MS = 50;
@@ -106,7 +107,7 @@
       } catch (IOException e) {
         // it was turned away
       }
-      Thread.sleep(100);
+      Thread.sleep(COME_AGAIN_AFTER_MS);
     }
   }
 
