--- a/review/standin-2/BehindBroken.java
+++ b/review/standin-2/BehindBroken.java
@@ -82,8 +82,8 @@
     String first = Client.newId();
     String second = Client.newId();
     try (Client client = Client.connect(address)) {
-      client.out.write(Client.lookup(first, 2000, 1));
-      client.out.write(Client.enrol(second, Client.newId(), WAIT_MS, 1, "body"));
+      client.out.write(Client.lookup(first, 2000));
+      client.out.write(Client.enrol(second, Client.newId(), WAIT_MS, "body"));
       double sentMs = Record.nowMs();
       record.line("sent on one connection: " + first + ", " + second);
       while (!answeredAtMs.containsKey(second) && Record.nowMs() - sentMs < WAIT_MS) {
--- a/review/standin-2/Client.java
+++ b/review/standin-2/Client.java
@@ -9,7 +9,12 @@
 /** A client's connection to an edge node. */
 final class Client implements AutoCloseable {
   private static final AtomicLong NEXT_ID = new AtomicLong(System.nanoTime());
-  static final String CUSTOMER = "00000000b4d65521";
+
+  /** So many customers ask in turn, each well within its quota. */
+  private static final int CUSTOMERS = 60;
+
+  private static final AtomicLong NEXT_CUSTOMER = new AtomicLong();
+
   final Socket socket = new Socket();
   InputStream in;
   OutputStream out;
@@ -32,18 +37,22 @@
     return String.format("%016x", NEXT_ID.getAndIncrement());
   }
 
+  private static String nextCustomer() {
+    return String.format("%016x", 0xb4d65521L + 4096 * (NEXT_CUSTOMER.getAndIncrement() % CUSTOMERS));
+  }
+
   /** A request of a class that is safe to repeat. */
-  static byte[] lookup(String id, int waitMs, int spread) {
+  static byte[] lookup(String id, int waitMs) {
     return Resp.command(
-        "CALL.GET", CUSTOMER, id,
-        "c=seat-lookup,t=sede-mayor,d=" + waitMs + ",units=1,spread=" + spread + ",first=0");
+        "CALL.GET", nextCustomer(), id,
+        "c=seat-lookup,t=sede-mayor,d=" + waitMs + ",units=1,spread=2,first=0");
   }
 
   /** A request of the class with a key. */
-  static byte[] enrol(String id, String key, int waitMs, int spread, String body) {
+  static byte[] enrol(String id, String key, int waitMs, String body) {
     return Resp.command(
-        "CALL.POST", CUSTOMER, id,
-        "c=enrol,t=sede-mayor,d=" + waitMs + ",k=" + key + ",units=1,spread=" + spread + ",first=0", body);
+        "CALL.POST", nextCustomer(), id,
+        "c=enrol,t=sede-mayor,d=" + waitMs + ",k=" + key + ",units=1,spread=2,first=0", body);
   }
 
   /** Sends bytes and reads one answer. */
--- a/review/standin-2/Config.java
+++ b/review/standin-2/Config.java
@@ -14,9 +14,9 @@
   int sockets = 1024;
   int memoryMb = 192;
 
-  /** Plans, as in the settings; the first has so large a quota that it refuses nothing. */
-  String plans =
-      "{\"name\":\"sede-mayor\",\"per_second\":2000,\"depth\":4000,\"price\":1.4,\"over_cost\":0.8}";
+  /** The plan: units a second and at once for each customer, within the brief's ranges. */
+  private static final String PLAN =
+      "{\"name\":\"sede-mayor\",\"per_second\":14.0,\"depth\":35.0,\"price\":1.4,\"over_cost\":0.8}";
 
   static int freePort() {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
@@ -48,6 +48,6 @@
         + ",\"aim\":600.0,\"hard_limit\":2000.0,\"worth\":1.0,\"late_share\":0.2,\"repeat_window\":5000.0"
         + ",\"stream\":false},{\"name\":\"enrol\",\"effect\":\"idempotency_key\",\"group\":\"cell\""
         + ",\"aim\":800.0,\"hard_limit\":3000.0,\"worth\":2.0,\"late_share\":0.0,\"repeat_window\":7500.0"
-        + ",\"stream\":false}],\"tariffs\":[" + plans + "]}}";
+        + ",\"stream\":false}],\"tariffs\":[" + PLAN + "]}}";
   }
 }
--- a/review/standin-2/Crowd.java
+++ b/review/standin-2/Crowd.java
@@ -122,7 +122,7 @@
       double sentMs = 0;
       try {
         client.socket.setSoTimeout(WAIT_MS + GRACE_MS);
-        client.out.write(Client.lookup(id, WAIT_MS, 1));
+        client.out.write(Client.lookup(id, WAIT_MS));
         sentMs = Record.nowMs();
         record.line(id + ": sent");
         Object answer = Resp.read(client.in);
--- a/review/standin-2/HalfWay.java
+++ b/review/standin-2/HalfWay.java
@@ -97,7 +97,7 @@
     while (true) {
       inCrowd.incrementAndGet();
       try (Client client = Client.connect(address)) {
-        byte[] command = Client.enrol(Client.newId(), Client.newId(), 3000, 1, "b".repeat(BODY_BYTES));
+        byte[] command = Client.enrol(Client.newId(), Client.newId(), 3000, "b".repeat(BODY_BYTES));
         int end = command.length - MISSING_BYTES;
         for (int from = 0; from < end; from += PIECE_BYTES) {
           client.out.write(command, from, Math.min(PIECE_BYTES, end - from));
@@ -114,7 +114,7 @@
   /** One request, sent once more where its connection ends before an app server has run it. */
   private void request() {
     String id = Client.newId();
-    byte[] command = Client.enrol(id, id, WAIT_MS, 1, "n".repeat(BODY_BYTES));
+    byte[] command = Client.enrol(id, id, WAIT_MS, "n".repeat(BODY_BYTES));
     Client client;
     synchronized (idle) {
       client = idle.pollLast();
--- a/review/standin-2/HeldBack.java
+++ b/review/standin-2/HeldBack.java
@@ -116,7 +116,7 @@
     String id = Client.newId();
     Client client = Client.connect(address);
     client.socket.setSoTimeout(100);
-    client.out.write(Client.enrol(id, Client.newId(), 3000, 1, "body"));
+    client.out.write(Client.enrol(id, Client.newId(), 3000, "body"));
     String name = "prompt client " + number + ", " + id;
     record.line(name + ": sent");
     InputStream in = client.socket.getInputStream();
@@ -169,7 +169,7 @@
         }
         client.socket.setReceiveBufferSize(32 << 10);
         client.socket.connect(Client.address(address), 5000);
-        client.socket.getOutputStream().write(Client.lookup(Client.newId(), 2000, 1));
+        client.socket.getOutputStream().write(Client.lookup(Client.newId(), 2000));
         InputStream in = client.socket.getInputStream();
         if (in.read() != '$') {
           slowRefused.incrementAndGet();
--- a/review/standin-2/SlowStream.java
+++ b/review/standin-2/SlowStream.java
@@ -33,7 +33,7 @@
     client.socket.setReceiveBufferSize(64 << 10);
     client.socket.connect(Client.address(config.listen), 5000);
     client.socket.setSoTimeout(10_000);
-    client.socket.getOutputStream().write(Client.lookup(Client.newId(), 2000, 1));
+    client.socket.getOutputStream().write(Client.lookup(Client.newId(), 2000));
     InputStream in = client.socket.getInputStream();
     double beginMs = Record.nowMs();
     byte[] header = in.readNBytes(("$" + VALUE_BYTES + "\r\n").length());
