Ask whether a value may go on by bytes counted here, not in a write's listener

Cause: canStream took the channel's count of unwritten bytes, which still has the bytes of a write while its listener runs. With the budget of all connections overdrawn the answer there was no, and no later event asked again.

Change: the queue counts its bytes in the channel itself, less those of a write that has ended. While reading is off, a write or the writability is still to come.

--- a/src/main/java/edgenode/net/downstream/ResponseQueue.java
+++ b/src/main/java/edgenode/net/downstream/ResponseQueue.java
@@ -32,6 +32,12 @@
   /** Bytes of responses that are buffered here or in the channel. */
   private long bufferedBytes;
 
+  /**
+   * Bytes of responses in the channel. Its own count also has bytes whose write has ended, until
+   * the listeners of that write have run.
+   */
+  private long writingBytes;
+
   private boolean isStartScheduled;
   private boolean isClosed;
 
@@ -192,11 +198,17 @@
     if (bytes == 0) {
       channel.write(message, channel.voidPromise());
     } else {
-      channel.write(message).addListener(written -> unbuffered(bytes));
+      writingBytes += bytes;
+      channel.write(message).addListener(written -> writeEnded(bytes));
     }
     loop.flushLater(channel);
   }
 
+  private void writeEnded(long bytes) {
+    writingBytes -= bytes;
+    unbuffered(bytes);
+  }
+
   /** Writes what has arrived of the streamed value that is next; whether that is all of it. */
   private boolean writeStreamed(ResponseSlot slot) {
     if (!slot.isHeaderWritten()) {
@@ -215,8 +227,12 @@
     return false;
   }
 
+  /**
+   * Whether more of a streamed value may be read. Where not, the channel is not writable or some of
+   * its writes has not ended; the event of either asks again, through {@link #updateFlow}.
+   */
   private boolean canStream() {
-    return channel.isWritable() && (unwrittenBytes() == 0 || budget.canStream(bufferedBytes));
+    return channel.isWritable() && (writingBytes == 0 || budget.canStream(bufferedBytes));
   }
 
   /** The client reads again, or has stopped to: passes that on to the value that is next. */
