Hold a long value back while commands are behind it, and read none while it streams

Cause: nothing that is written behind a part of a value can be told from it. The node wrote the header as soon as the first bytes came, whatever was behind it, and went on taking commands while the value was passed on.

Change: while a long value is next, no commands are read; unread ones are reset if it breaks off. With commands behind it that have been read, it is collected within the budget of unread responses until it is complete, for as long as its request's time allows (5 s at most), then streamed. A broken value that was held back is answered -ERR failed, and what is behind it gets its answers. Streamed values are a class of their own.

Options not taken: one request after another on a connection (no concurrency), failing a value that is not complete in its time (a slow endpoint's value would never come), the rest from another endpoint (it may be another value).

Left: a value that is not complete in its time, or finds no room, is streamed with commands behind it.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -36,6 +36,12 @@
   /** While reading is off, interval (ms) at which it is checked whether the client disconnected. */
   private static final double DISCONNECT_CHECK_INTERVAL_MS = 50;
 
+  /**
+   * Time (ms) after a pause of reading for which what is read may have come in the pause: the next
+   * pass of the event loop reads it.
+   */
+  private static final double RESUMED_READ_MS = 1;
+
   /** In place of a time: no command is waited for. */
   private static final double NOT_WAITING = Double.MAX_VALUE;
 
@@ -54,6 +60,9 @@
 
   private boolean hasReceivedCommand;
 
+  /** Since when what is read next may be unread (ms), as reading was off; else infinity. */
+  private double unreadSinceMs = Double.POSITIVE_INFINITY;
+
   /** Commands that are read from now on are dropped. */
   private boolean ignoresInput;
 
@@ -206,16 +215,22 @@
   }
 
   /**
-   * Reading is off while the client does not read its responses, with requests open in the last
-   * phase of draining, and at the end.
+   * Reading is off while the client does not read its responses, while a streamed value is next,
+   * with requests open in the last phase of draining, and at the end.
    */
   void updateReading() {
     boolean isReading =
         !ignoresInput
             && !(listener.isReadingStopped() && !responses.isEmpty())
             && !isEnding
+            && !responses.isStreamNext()
             && channel.isWritable();
     if (channel.config().isAutoRead() != isReading && !hasClientDisconnected) {
+      if (isReading) {
+        readingResumed();
+      } else {
+        unreadSinceMs = Math.min(unreadSinceMs, loop.nowMs());
+      }
       channel.config().setAutoRead(isReading);
       if (!isReading && !isDisconnectCheckScheduled) {
         isDisconnectCheckScheduled = true;
@@ -224,6 +239,20 @@
     }
   }
 
+  /** The time in which nothing was read is none in which a client was slow with its command. */
+  private void readingResumed() {
+    if (waitingSinceMs != NOT_WAITING) {
+      waitingSinceMs = loop.nowMs();
+    }
+    loop.schedule(RESUMED_READ_MS, this::unreadBytesRead);
+  }
+
+  private void unreadBytesRead() {
+    if (channel.config().isAutoRead()) {
+      unreadSinceMs = Double.POSITIVE_INFINITY;
+    }
+  }
+
   /** The end of a connection is behind what is unread: without this check it would be seen late. */
   private void checkForDisconnect() {
     isDisconnectCheckScheduled = channel.isActive() && !channel.config().isAutoRead();
@@ -248,12 +277,14 @@
 
   /**
    * For how long (ms) what is read now may have been unread. The first command of a new connection
-   * may have arrived before that was accepted, one iteration of the event loop earlier.
+   * may have arrived before that was accepted, one iteration of the event loop earlier; one that is
+   * read after a pause of reading, as the pause began.
    */
   double unreadDelayMs() {
     double delayMs = loop.queueingDelayMs();
     double ageMs = loop.nowMs() - acceptedAtMs;
-    return ageMs <= delayMs ? ageMs + delayMs : delayMs;
+    double loopDelayMs = ageMs <= delayMs ? ageMs + delayMs : delayMs;
+    return Math.max(loopDelayMs, loop.nowMs() - unreadSinceMs);
   }
 
   /**
@@ -285,7 +316,7 @@
         listener.evictionOrder().allResponsesWritten(this, loop.nowMs());
       }
     }
-    if (!channel.config().isAutoRead()) {
+    if (!channel.config().isAutoRead() || responses.isStreamNext()) {
       updateReading();
     }
   }
@@ -296,7 +327,7 @@
       endOutput();
       responses.failOpenRequests(); // what comes behind a part of a value cannot be distinguished
     } else {
-      slot.dropStream();
+      slot.release();
       slot.respond(new ErrorRedisMessage("ERR failed"));
     }
   }
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -110,7 +110,7 @@
     loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
     double overdueSinceMs = loop.nowMs() - COMMAND_TIMEOUT_MS;
     for (ClientConnection connection : connections.toArray(new ClientConnection[0])) {
-      connection.responses().startUnstarted();
+      connection.responses().useFreedBuffers();
       connection.closeIfStalled();
       if (connection.isCommandOverdue(overdueSinceMs)) {
         connection.rejectInput("no whole command came");
--- a/src/main/java/edgenode/net/downstream/ResponseQueue.java
+++ b/src/main/java/edgenode/net/downstream/ResponseQueue.java
@@ -14,8 +14,16 @@
  * Writes the responses of one connection in the order of its commands. What the client does not
  * take yet is buffered within the {@link ResponseBufferBudget}, and commands whose responses would
  * not fit are started later. On the event loop only.
+ *
+ * <p>A streamed value may break off, and nothing that is written behind a part of a value could be
+ * distinguished from it. A value with other commands behind it is therefore held back until it is
+ * complete, within the budget and for as long as its client waits; only then it is streamed as it
+ * comes. While a streamed value is next, no further commands are read: {@link #isStreamNext}.
  */
 final class ResponseQueue {
+  /** Longest time (ms) for which a value is held back, whatever its client's wait. */
+  private static final double MAX_HOLD_MS = 5000;
+
   private static final byte[] END_OF_LINE = {'\r', '\n'};
 
   private final EdgeEventLoop loop;
@@ -92,13 +100,19 @@
   }
 
   /** Starts commands, in their order, while their responses can be buffered. */
-  void startUnstarted() {
+  private void startUnstarted() {
     while (!unstartedSlots.isEmpty() && budget.canStart(bufferedBytes, startedRequests)) {
       startedRequests++;
       unstartedSlots.poll().start();
     }
   }
 
+  /** Other connections may have freed buffers: has those go on that wait for it. */
+  void useFreedBuffers() {
+    startUnstarted();
+    updateFlow();
+  }
+
   private void startUnstartedLater() {
     if (!unstartedSlots.isEmpty() && !isStartScheduled) {
       isStartScheduled = true;
@@ -191,7 +205,14 @@
     ResponseSlot first = slots.peek();
     return first != null
         && channel.isWritable()
-        && (first.response() != null || first.isStreaming() && first.hasUnwrittenParts());
+        && (first.response() != null
+            || first.isStreaming() && first.streamedValue().hasUnwrittenParts());
+  }
+
+  /** Whether the response that is written next is a streamed value. */
+  boolean isStreamNext() {
+    ResponseSlot first = slots.peek();
+    return first != null && first.isStreaming();
   }
 
   private void write(Object message, long bytes) {
@@ -211,22 +232,54 @@
 
   /** Writes what has arrived of the streamed value that is next; whether that is all of it. */
   private boolean writeStreamed(ResponseSlot slot) {
-    if (!slot.isHeaderWritten()) {
-      write(ByteBufUtil.writeAscii(channel.alloc(), slot.unwrittenHeader()), 0);
-      slot.headerWritten();
+    StreamedValue value = slot.streamedValue();
+    if (!value.isHeaderWritten() && !beginStream(slot)) {
+      return false;
     }
-    while (slot.hasUnwrittenChunks() && channel.isWritable()) {
+    while (value.hasUnwrittenChunks() && channel.isWritable()) {
       ByteBuf chunk = slot.takeChunk();
       write(chunk, chunk.readableBytes());
     }
-    if (slot.isStreamFinished() && !slot.hasUnwrittenChunks()) {
+    if (value.isFinished() && !value.hasUnwrittenChunks()) {
       write(Unpooled.wrappedBuffer(END_OF_LINE), 0);
       return true;
     }
-    slot.flowControl().setFlowing(canStream());
+    value.source().setFlowing(canStream());
     return false;
   }
 
+  /** Writes the header of the value, or holds the value back; whether the header is written. */
+  private boolean beginStream(ResponseSlot slot) {
+    StreamedValue value = slot.streamedValue();
+    boolean hasCommandsBehind = slots.size() > 1;
+    if (hasCommandsBehind && !value.isFinished() && !value.isHoldOver()) {
+      holdBack(slot);
+      return false;
+    }
+    slot.endHold();
+    write(ByteBufUtil.writeAscii(channel.alloc(), value.header()), 0);
+    value.headerWritten();
+    return true;
+  }
+
+  /**
+   * Collects the value in a buffer; without room for that, leaves it at its source. The end of the
+   * value or of its time goes on with it, and in the latter case also {@link #updateFlow}, which
+   * looks for room.
+   */
+  private void holdBack(ResponseSlot slot) {
+    StreamedValue value = slot.streamedValue();
+    if (!value.isHeld()) {
+      double holdMs = Math.min(value.maxHoldMs(), MAX_HOLD_MS);
+      value.hold(loop.schedule(holdMs, slot::holdTimedOut));
+    }
+    long missingBytes = value.lengthBytes() - slot.bufferedBytes();
+    if (!value.hasHoldBuffer() && budget.canBuffer(bufferedBytes, (int) missingBytes)) {
+      slot.allocateHoldBuffer();
+    }
+    value.source().setFlowing(value.hasHoldBuffer());
+  }
+
   /**
    * Whether more of a streamed value may be read. Where not, the channel is not writable or some of
    * its writes has not ended; the event of either asks again, through {@link #updateFlow}.
@@ -235,11 +288,20 @@
     return channel.isWritable() && (writingBytes == 0 || budget.canStream(bufferedBytes));
   }
 
-  /** The client reads again, or has stopped to: passes that on to the value that is next. */
+  /**
+   * The client reads again, or has stopped to, or other connections have: passes that on to the
+   * value that is next.
+   */
   void updateFlow() {
     ResponseSlot first = slots.peek();
-    if (first != null && first.isStreaming() && first.isHeaderWritten()) {
-      first.flowControl().setFlowing(canStream());
+    if (first == null || !first.isStreaming()) {
+      return;
+    }
+    StreamedValue value = first.streamedValue();
+    if (value.isHeaderWritten()) {
+      value.source().setFlowing(canStream());
+    } else if (value.isHeld() && !value.hasHoldBuffer()) {
+      holdBack(first);
     }
   }
 
--- a/src/main/java/edgenode/net/downstream/ResponseSlot.java
+++ b/src/main/java/edgenode/net/downstream/ResponseSlot.java
@@ -4,15 +4,12 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.redis.RedisMessage;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 
 /**
  * The place of one command's response in the order of its connection. A response is either one
  * message or a streamed value; it is written once those before it are. On the event loop only.
  */
 public final class ResponseSlot {
-  private static final int INITIAL_CHUNKS = 2;
-
   private final ClientConnection connection;
 
   /** Starts the command once its response can be buffered; null before and after. */
@@ -21,7 +18,7 @@
   /** The command is started, and has no response yet. */
   private boolean isAwaitingResponse;
 
-  /** Bytes of the response that are buffered here. */
+  /** Bytes of the response that are buffered here, or may be. */
   private long bufferedBytes;
 
   /** Null until there is a response that is not streamed. */
@@ -30,16 +27,8 @@
   /** Null where no request is open here. */
   private OpenRequest openRequest;
 
-  /** The source of a streamed value, or null. */
-  private FlowControl flowControl;
-
-  /** The length line of a streamed value, until it is written. */
-  private String unwrittenHeader;
-
-  /** Chunks of a streamed value that are not written yet. */
-  private ArrayDeque<ByteBuf> unwrittenChunks;
-
-  private boolean isStreamFinished;
+  /** Null where the response is no streamed value. */
+  private StreamedValue streamedValue;
 
   ResponseSlot(ClientConnection connection) {
     this.connection = connection;
@@ -118,17 +107,18 @@
 
   /**
    * Starts a response whose value arrives in chunks. Until the responses before it are written the
-   * source is stopped; chunks that arrive nevertheless are kept.
+   * source is stopped; chunks that arrive nevertheless are kept. With further commands unanswered,
+   * the value may be held back until it is complete: behind a value that breaks off, nothing could
+   * be answered.
    *
    * @param lengthBytes of the whole value
    * @param source stopped while the client does not read
+   * @param maxHoldMs time (ms) for which the value may be held back once it is next
    */
-  public void startStreaming(int lengthBytes, FlowControl source) {
+  public void startStreaming(int lengthBytes, FlowControl source, double maxHoldMs) {
     endStart();
     connection.responses().valueReceived(lengthBytes);
-    flowControl = source;
-    unwrittenHeader = "$" + lengthBytes + "\r\n";
-    unwrittenChunks = new ArrayDeque<>(INITIAL_CHUNKS);
+    streamedValue = new StreamedValue(lengthBytes, source, maxHoldMs);
     if (!connection.isNextToWrite(this)) {
       source.setFlowing(false);
     }
@@ -141,14 +131,17 @@
    * @param chunk the slot's to release
    */
   public void writeChunk(ByteBuf chunk) {
-    unwrittenChunks.add(chunk);
-    buffered(chunk.readableBytes());
+    int chunkBytes = chunk.readableBytes();
+    if (!streamedValue.hasHoldBuffer() || !streamedValue.isHeld()) {
+      buffered(chunkBytes); // else it is counted already
+    }
+    streamedValue.add(chunk);
     connection.writeResponses();
   }
 
   /** The streamed value is complete. */
   public void finishStreaming() {
-    isStreamFinished = true;
+    streamedValue.finish();
     connection.writeResponses();
   }
 
@@ -184,42 +177,45 @@
     return openRequest;
   }
 
-  boolean isStreaming() {
-    return flowControl != null;
+  /** Returns the value that is streamed here, or null. */
+  StreamedValue streamedValue() {
+    return streamedValue;
   }
 
-  boolean isStreamFinished() {
-    return isStreamFinished;
+  boolean isStreaming() {
+    return streamedValue != null;
   }
 
+  /** Whether a part of a streamed value is written. */
   boolean isHeaderWritten() {
-    return unwrittenHeader == null;
+    return streamedValue != null && streamedValue.isHeaderWritten();
   }
 
-  FlowControl flowControl() {
-    return flowControl;
+  /** Collects the streamed value in a buffer, whose bytes count as buffered from now on. */
+  void allocateHoldBuffer() {
+    buffered(streamedValue.lengthBytes() - bufferedBytes);
+    streamedValue.allocateHoldBuffer();
   }
 
-  String unwrittenHeader() {
-    return unwrittenHeader;
-  }
-
-  void headerWritten() {
-    unwrittenHeader = null;
-  }
-
-  boolean hasUnwrittenChunks() {
-    return !unwrittenChunks.isEmpty();
+  /** The streamed value has been held back for as long as it may. */
+  void holdTimedOut() {
+    endHold();
+    connection.writeResponses();
   }
 
-  /** Whether a streamed value has a part that could be written. */
-  boolean hasUnwrittenParts() {
-    return !isHeaderWritten() || hasUnwrittenChunks() || isStreamFinished;
+  /** The streamed value is not held back any more: what has not come of it does not count. */
+  void endHold() {
+    streamedValue.endHold();
+    if (streamedValue.hasHoldBuffer()) {
+      long missingBytes = bufferedBytes - streamedValue.unwrittenHeldBytes();
+      bufferedBytes -= missingBytes;
+      connection.responses().unbuffered(missingBytes);
+    }
   }
 
   /** Returns the next chunk, which is the caller's to release; there has to be one. */
   ByteBuf takeChunk() {
-    ByteBuf chunk = unwrittenChunks.remove();
+    ByteBuf chunk = streamedValue.takeChunk();
     bufferedBytes -= chunk.readableBytes();
     return chunk;
   }
@@ -229,19 +225,15 @@
     return bufferedBytes;
   }
 
-  /** Drops a stream of which nothing is written, so that another response can be given. */
-  void dropStream() {
-    release();
-    flowControl = null;
-  }
-
-  /** Releases what is not written. */
+  /** Drops the response, or what is not written of it. */
   void release() {
     ReferenceCountUtil.release(response);
-    while (unwrittenChunks != null && !unwrittenChunks.isEmpty()) {
-      unwrittenChunks.poll().release();
+    if (streamedValue != null) {
+      streamedValue.release();
+      streamedValue = null;
     }
-    connection.responses().unbuffered(bufferedBytes);
+    long releasedBytes = bufferedBytes;
     bufferedBytes = 0;
+    connection.responses().unbuffered(releasedBytes);
   }
 }
--- a/src/main/java/edgenode/node/PendingRequest.java
+++ b/src/main/java/edgenode/node/PendingRequest.java
@@ -333,7 +333,7 @@
         nowMs, this, attempt, CallOutcome.OK, UpstreamConnectionPool.NO_LOAD_REPORT);
     removeWhenSettled();
     if (isWanted) {
-      slot.startStreaming(lengthBytes, response);
+      slot.startStreaming(lengthBytes, response, Math.max(0, deadlineMs - nowMs));
     }
     return isWanted ? response : null;
   }
--- a/src/test/java/edgenode/net/downstream/StreamFlowTest.java
+++ b/src/test/java/edgenode/net/downstream/StreamFlowTest.java
@@ -1,6 +1,7 @@
 package edgenode.net.downstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import edgenode.eventloop.NettyEdgeEventLoop;
 import io.netty.buffer.Unpooled;
@@ -56,6 +57,7 @@
 
   private final NettyEdgeEventLoop loop = NettyEdgeEventLoop.create();
   private ClientListener listener;
+  private double maxHoldMs = 1000;
   private int port;
 
   @BeforeEach
@@ -92,9 +94,41 @@
     }
   }
 
+  /**
+   * Guards against a value that waits for room for good: it is held back, as a command is behind
+   * it, and streamed when its time is over.
+   */
+  @Test
+  void valueWithoutRoomToHoldItBackIsStreamedInTheEnd() throws Exception {
+    addBytesOfOtherConnections(2 * ResponseBufferBudget.MAX_TOTAL_BYTES);
+    try (Socket client = connect()) {
+      client.getOutputStream().write(COMMAND);
+      client.getOutputStream().write(COMMAND);
+      readValue(client);
+      readValue(client);
+    }
+  }
+
+  /** Room that others free is found before the time of a value is over. */
+  @Test
+  void valueIsHeldBackInRoomThatOthersFree() throws Exception {
+    maxHoldMs = READ_TIMEOUT_MS - 500;
+    addBytesOfOtherConnections(2 * ResponseBufferBudget.MAX_TOTAL_BYTES);
+    try (Socket client = connect()) {
+      client.getOutputStream().write(COMMAND);
+      client.getOutputStream().write(COMMAND);
+      Thread.sleep(200); // the value waits for room by now
+      addBytesOfOtherConnections(-2 * ResponseBufferBudget.MAX_TOTAL_BYTES);
+      double startedMs = loop.nowMs();
+      readValue(client);
+      assertTrue(loop.nowMs() - startedMs < maxHoldMs - 500, "held back until its time was over");
+      readValue(client);
+    }
+  }
+
   private void startStreaming(ResponseSlot slot) {
     ChunkSource source = new ChunkSource(slot);
-    slot.startStreaming(VALUE_BYTES, source);
+    slot.startStreaming(VALUE_BYTES, source, maxHoldMs);
     loop.schedule(CHUNK_INTERVAL_MS, source::writeChunks);
   }
 
