Leave it to the client's connection whether a client has stopped within a long value

Cause: LongValueTransfer took 60 s with reading off for a client that had stopped. The kernel reports a socket as writable only when a third of its buffer is free, which takes a slow reader of a 4 MB buffer longer.

Change: the transfer bounds the time in which its endpoint gives nothing while it is read. While reading is off the client's connection decides, by acknowledged bytes, and cancels the transfer.

--- a/src/main/java/edgenode/net/upstream/LongValueTransfer.java
+++ b/src/main/java/edgenode/net/upstream/LongValueTransfer.java
@@ -7,15 +7,14 @@
 
 /**
  * A value that is too long to be buffered, on its way from an endpoint's connection to its sink.
- * Aborted where it makes no progress for too long.
+ * Aborted where the endpoint sends nothing for too long while it is read. While reading is off, the
+ * sink is waiting for its client: whoever turned it off turns it on again, or cancels the transfer
+ * once the client has stopped.
  */
 final class LongValueTransfer implements ValueSource {
   /** No bytes from the endpoint for so long while reading is on: the value will not complete. */
   private static final double VALUE_STALL_TIMEOUT_MS = 15_000;
 
-  /** Reading is off for so long: the client has stopped taking bytes. */
-  private static final double CLIENT_STALL_TIMEOUT_MS = 60_000;
-
   private final EdgeEventLoop eventLoop;
   private final Channel channel;
 
@@ -104,8 +103,8 @@
   }
 
   private void checkProgress() {
-    double timeoutMs = isReading ? VALUE_STALL_TIMEOUT_MS : CLIENT_STALL_TIMEOUT_MS;
-    double remainingMs = lastProgressMs + timeoutMs - eventLoop.nowMs();
+    double sinceMs = isReading ? lastProgressMs : eventLoop.nowMs();
+    double remainingMs = sinceMs + VALUE_STALL_TIMEOUT_MS - eventLoop.nowMs();
     if (remainingMs <= 0) {
       abort();
       channel.close();
