Copy partial commands into buffers of their size, and release rejected ones at once

The log had OutOfDirectMemoryError.

Cause: the budget counts bytes, not what they hold. A rejected command gave its part back at once and kept its memory until its client had closed; and each piece kept the buffer that it was read into.

Change: what comes of a command after its first read is copied into one heap buffer and decoded once it is complete; a rejected one is released. Client reads have 16 KB at most, four in a pass of the loop. A command that comes in one read is decoded as before.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -87,7 +87,7 @@
     progress = new DeliveryProgress(loop, channel);
     acceptedAtMs = loop.nowMs();
     waitingSinceMs = acceptedAtMs;
-    decoder = RespCodec.addCodec(channel.pipeline(), MAX_COMMAND_ELEMENTS);
+    decoder = RespCodec.addCommandCodec(channel.pipeline(), MAX_COMMAND_ELEMENTS);
     partialCommand = listener.partialCommands().newShare();
     channel.pipeline().addLast(this);
   }
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -3,9 +3,11 @@
 import edgenode.eventloop.EdgeEventLoop;
 import edgenode.net.resp.PartialMessageBudget;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -22,6 +24,15 @@
 
   private static final int BACKLOG = 1024;
 
+  /** Sizes of one read. A read buffer is held with the part of a command that was read into it. */
+  private static final int MIN_READ_BYTES = 64;
+
+  private static final int INITIAL_READ_BYTES = 2048;
+  private static final int MAX_READ_BYTES = 16 << 10;
+
+  /** Reads of one connection in a pass of the loop, in which the others wait. */
+  private static final int MAX_READS_PER_PASS = 4;
+
   /** A connection without a complete command for this time (ms) gets an error and is closed. */
   private static final double COMMAND_TIMEOUT_MS = 2500;
 
@@ -67,6 +78,10 @@
   /** Binds the address; from any thread. The future fails where the address cannot be bound. */
   public ChannelFuture bind(InetSocketAddress address) {
     ServerBootstrap bootstrap = loop.transport().newServerBootstrap(loop.group(), BACKLOG);
+    bootstrap.childOption(
+        ChannelOption.RECVBUF_ALLOCATOR,
+        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+            .maxMessagesPerRead(MAX_READS_PER_PASS));
     return (isAddressShared ? loop.transport().withSharedPort(bootstrap) : bootstrap)
         .handler(
             new ChannelInitializer<Channel>() {
--- a/src/main/java/edgenode/net/resp/RespCodec.java
+++ b/src/main/java/edgenode/net/resp/RespCodec.java
@@ -67,6 +67,16 @@
     return counter;
   }
 
+  /**
+   * Adds the codec for clients' commands: as {@link #addCodec}, but what comes of a command after
+   * its first read is held in a buffer of its size, and decoded once the command is complete.
+   */
+  public static UndecodedByteCounter addCommandCodec(ChannelPipeline pipeline, int maxElements) {
+    UndecodedByteCounter counter = addCodec(pipeline, maxElements);
+    counter.partialMessage = new PartialMessageBuffer();
+    return counter;
+  }
+
   /**
    * Adds the codec for endpoints' responses: as {@link #addCodec}, but long values come in chunks,
    * see {@link LongValueDecoder}.
@@ -87,6 +97,9 @@
     private boolean isDiscarding;
     private LongValueDecoder longValueDecoder;
 
+    /** Null where all that comes is decoded at once. */
+    private PartialMessageBuffer partialMessage;
+
     /** The number of these bytes. */
     public long pendingBytes() {
       return pendingBytes;
@@ -95,6 +108,13 @@
     /** What comes from now on is not decoded, and so not buffered. */
     public void discardInput() {
       isDiscarding = true;
+      releasePartialMessage();
+    }
+
+    private void releasePartialMessage() {
+      if (partialMessage != null) {
+        partialMessage.release();
+      }
     }
 
     @Override
@@ -103,8 +123,43 @@
         ReferenceCountUtil.release(msg);
         return;
       }
-      pendingBytes += ((ByteBuf) msg).readableBytes();
-      ctx.fireChannelRead(msg);
+      ByteBuf bytes = (ByteBuf) msg;
+      pendingBytes += bytes.readableBytes();
+      if (partialMessage == null) {
+        ctx.fireChannelRead(bytes);
+        return;
+      }
+      ByteBuf decodable = partialMessage.isWaiting() ? partialMessage.add(bytes) : bytes;
+      if (decodable != null) {
+        decode(ctx, decodable);
+      }
+    }
+
+    /** Decodes bytes, and scans what they hold of a message that is not complete. */
+    private void decode(ChannelHandlerContext ctx, ByteBuf bytes) {
+      int readBytes = bytes.readableBytes();
+      int endIndex = bytes.writerIndex();
+      bytes.retain();
+      try {
+        ctx.fireChannelRead(bytes);
+        if (pendingBytes > 0 && pendingBytes <= readBytes && !isDiscarding) {
+          int partBytes = (int) pendingBytes;
+          partialMessage.messageBegun(bytes.slice(endIndex - partBytes, partBytes));
+        }
+      } finally {
+        bytes.release();
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      releasePartialMessage();
+      ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext ctx) {
+      releasePartialMessage();
     }
 
     /**
