Bound the customers that are remembered, and drop the timers of finished requests

Cause: a customer was remembered for 30 s after its last request, whatever their number, and each quota tick went through all that were active; the timers of a finished request held it for as long as its client would have waited.

Change: with more than 4,096 customers, one of which nothing was sent or reserved is forgotten with its request; beyond 30,000 requests of further ones are rejected. The timers of finished requests are removed whenever their number has doubled.

--- a/src/main/java/edgenode/policy/AdmissionQueue.java
+++ b/src/main/java/edgenode/policy/AdmissionQueue.java
@@ -96,6 +96,7 @@
   private void sendFirstAttempt(PendingRequest request, Endpoint endpoint) {
     Customer customer = request.customer;
     customer.dequeue(request);
+    customer.hasSpent = true;
     reservations.spend(customer, request.units());
     ceiling.spend(customer, request.units());
     timers.schedule(TimerKind.REQUEST_DEADLINE, request.deadlineMs, request);
--- a/src/main/java/edgenode/policy/Customer.java
+++ b/src/main/java/edgenode/policy/Customer.java
@@ -51,6 +51,9 @@
 
   double lastSeenMs;
 
+  /** A request of it has been sent. */
+  boolean hasSpent;
+
   // ---- reservations (QuotaReservations) ----
 
   /** Units that may be spent now. */
@@ -177,6 +180,17 @@
     return EndpointSubset.mix64(counterKey + 2 * epoch + 1) >>> 1;
   }
 
+  /** Nothing queued, sent or reserved: a new record would be the same but for its arrivals. */
+  boolean isUnused() {
+    return !hasSpent
+        && queue.isEmpty()
+        && !isCallInFlight
+        && openSlotEpochs.isEmpty()
+        && unitDueTimesMs.isEmpty()
+        && unreportedUnits == 0
+        && (isUnshared || credits == 0);
+  }
+
   /** Nothing queued, in flight or reserved, and hardly any traffic. */
   boolean isIdle() {
     return queue.isEmpty()
--- a/src/main/java/edgenode/policy/CustomerTable.java
+++ b/src/main/java/edgenode/policy/CustomerTable.java
@@ -8,6 +8,12 @@
 
 /** The customers seen lately. Those with traffic are active: each quota tick goes through them. */
 final class CustomerTable {
+  /** With more customers, those of which nothing has been sent are not remembered. */
+  static final int MANY_CUSTOMERS = 4096;
+
+  /** With as many, requests of further customers are rejected: some 700 bytes of heap each. */
+  static final int MAX_CUSTOMERS = 30_000;
+
   private final boolean hasCounter;
   private final PolicyTimers timers;
   private final Map<String, QuotaPlan> plans = new HashMap<>();
@@ -31,11 +37,16 @@
    * The customer of a request, with the plan of its first request: a customer whose plan changes
    * keeps its former plan until {@link #forgetIdle} has forgotten it, after 30 s without requests
    * at the earliest.
+   *
+   * @return null where there are too many customers to remember another one
    */
   Customer findOrAdd(IncomingRequest request, QuotaPlan plan, double usualGrantShare) {
     double nowMs = timers.nowMs();
     Customer customer = byName.get(request.customerName());
     if (customer == null) {
+      if (byName.size() >= MAX_CUSTOMERS) {
+        return null;
+      }
       customer =
           new Customer(
               request.customerName(),
@@ -60,6 +71,23 @@
     return active.iterator();
   }
 
+  /**
+   * A request has ended that was not sent. Where there are many customers, forgets its customer if
+   * nothing else is known of it: a client may send requests under ever new names, faster than any
+   * time after which they are forgotten.
+   */
+  void forgetIfUnused(Customer customer) {
+    if (byName.size() > MANY_CUSTOMERS && customer.isUnused()) {
+      byName.remove(customer.name, customer);
+      active.remove(customer);
+    }
+  }
+
+  /** How many customers are remembered. */
+  int size() {
+    return byName.size();
+  }
+
   /**
    * Forgets customers that have been idle for so long that their buckets must be full: a new record
    * is as good.
--- a/src/main/java/edgenode/policy/PendingRequest.java
+++ b/src/main/java/edgenode/policy/PendingRequest.java
@@ -79,6 +79,11 @@
     return deadlineMs - 2 * timerResolutionMs;
   }
 
+  /** No answer is owed any more, and nothing is in flight. */
+  boolean isSettled() {
+    return isFinished && inFlight == 0;
+  }
+
   Attempt lastAttempt() {
     return attempts.get(attempts.size() - 1);
   }
--- a/src/main/java/edgenode/policy/PolicyEngine.java
+++ b/src/main/java/edgenode/policy/PolicyEngine.java
@@ -124,10 +124,15 @@
       return;
     }
     Customer customer = customers.findOrAdd(incoming, plan, reservations.usualGrantShare());
+    if (customer == null) {
+      actions.reject(incoming.id(), 0);
+      return;
+    }
     pacer.recordArrival();
     PendingRequest request = lifecycle.add(incoming, classStats, customer);
     if (queue.isFutile(request)) {
       lifecycle.rejectOrFail(request);
+      customers.forgetIfUnused(customer);
       return;
     }
     customers.activate(customer);
@@ -175,6 +180,7 @@
     PendingRequest request = lifecycle.find(requestId);
     if (request != null) {
       lifecycle.finish(request);
+      customers.forgetIfUnused(request.customer);
     }
   }
 
@@ -237,7 +243,10 @@
     PendingRequest request = timer.request();
     switch (timer.kind()) {
       case QUOTA_TICK -> onQuotaTick();
-      case QUEUE_EXPIRY -> queue.expire(request);
+      case QUEUE_EXPIRY -> {
+        queue.expire(request);
+        customers.forgetIfUnused(request.customer);
+      }
       case REQUEST_DEADLINE -> lifecycle.deadlineReached(request);
       case HALF_OBJECTIVE_PASSED -> lifecycle.halfObjectivePassed(request);
       case RETRY -> lifecycle.retryDue(request);
@@ -260,6 +269,16 @@
     }
   }
 
+  /** The timers that are still to come, for tests. */
+  PolicyTimers timers() {
+    return timers;
+  }
+
+  /** The customers that are remembered, for tests. */
+  CustomerTable customers() {
+    return customers;
+  }
+
   /** The endpoints that this node knows, for tests. */
   KnownEndpoints endpoints() {
     return endpoints;
--- a/src/main/java/edgenode/policy/PolicyTimers.java
+++ b/src/main/java/edgenode/policy/PolicyTimers.java
@@ -16,6 +16,9 @@
   /** The shell may report a timer this much early by rounding. */
   private static final double ROUNDING_MS = 1e-3;
 
+  /** From this number of timers on, those of finished requests are looked for. */
+  private static final int MIN_PURGE_SIZE = 4096;
+
   /** The shell's timer is not set. */
   private static final double NOT_SET_MS = Double.MAX_VALUE;
 
@@ -40,6 +43,7 @@
   private double nowMs;
   private double shellTimerAtMs = NOT_SET_MS;
   private long nextSerial;
+  private int purgeSize = MIN_PURGE_SIZE;
 
   PolicyTimers(PolicySettings settings, PolicyActions actions, double nowMs) {
     this.actions = actions;
@@ -62,12 +66,30 @@
   }
 
   void schedule(TimerKind kind, double atMs, PendingRequest request) {
+    if (queue.size() >= purgeSize) {
+      purge();
+    }
     queue.add(new Timer(atMs, nextSerial++, kind, request));
     if (atMs < shellTimerAtMs - MIN_GAIN_MS) {
       setShellTimer(atMs);
     }
   }
 
+  /**
+   * Removes the timers of requests that are finished: they would hold these until the time for
+   * which their clients would have waited. The number of timers doubles between two purges at
+   * least, so that each costs O(1) for a timer.
+   */
+  private void purge() {
+    queue.removeIf(timer -> timer.request != null && timer.request.isSettled());
+    purgeSize = Math.max(MIN_PURGE_SIZE, 2 * queue.size());
+  }
+
+  /** How many timers are still to come. */
+  int size() {
+    return queue.size();
+  }
+
   /** Takes the next timer that is due by now, null where none is. */
   Timer pollDue() {
     Timer next = queue.peek();
