Remember the ids of requests that may have run and whose clients have left

Callers saw (a probe): a client that sent an enrolment, left after 0.1 s and sent the same command on a new connection had it run twice: 31 of 74 ids.

Cause: only the ids of open requests were known. Once the client's end was seen, the attempt was given up and the id was free.

Also where a client leaves within a long value. Not done: the other process of an upgrade does not know these ids.

Measured: ClientDisconnectTest.requestThatMayHaveRunIsNotRunAgainWhenItComesAgain fails on the former code and passes.

--- a/src/main/java/edgenode/node/PendingRequest.java
+++ b/src/main/java/edgenode/node/PendingRequest.java
@@ -60,6 +60,9 @@
   /** Its client has disconnected; it goes on for the duplicates that wait for its response. */
   private boolean hasNoClient;
 
+  /** Its client has disconnected, and nobody waits for its response. */
+  private boolean isAbandoned;
+
   private int attemptsInFlight;
 
   /** Attempts that were written and may have run. */
@@ -279,6 +282,7 @@
       countEnd(RequestOutcome.ABANDONED);
       hasNoClient = true; // its response is for the duplicates
     } else {
+      isAbandoned = true;
       finish(RequestOutcome.ABANDONED);
       completeDuplicates(null, false);
       table.policy.clientDisconnected(id);
@@ -323,7 +327,7 @@
     double nowMs = table.loop.nowMs();
     boolean isWanted = !isFinished && !hasNoClient;
     completeDuplicates(null, true);
-    StreamedResponse response = new StreamedResponse(table, slot, counters, source);
+    StreamedResponse response = new StreamedResponse(table, this, slot, counters, source);
     if (!isFinished) {
       // The server has done its work: how long the client reads must not count as its latency.
       isFinished = true;
@@ -360,6 +364,22 @@
     return attemptsWritten > 0 || attemptsInFlight > 0;
   }
 
+  /** Whether its client has left before its end, and it must not run again. */
+  boolean mayHaveRunForLeftClient() {
+    return isAbandoned && mayHaveRun() && !isRepeatable();
+  }
+
+  private boolean isRepeatable() {
+    return table.settings.isRepeatableAnywhere(call.className());
+  }
+
+  /** Its client has disconnected within a long value. */
+  void streamAbandoned() {
+    if (!isRepeatable()) {
+      table.requestAbandoned(clientRequestId());
+    }
+  }
+
   private void respondWithValue(RedisMessage value) {
     if (hasNoClient || slot.canBuffer(RespCodec.valueBytes(value))) {
       respond(RequestOutcome.SERVED, ReferenceCountUtil.retain(value));
--- a/src/main/java/edgenode/node/RequestTable.java
+++ b/src/main/java/edgenode/node/RequestTable.java
@@ -12,8 +12,6 @@
 import io.netty.handler.codec.redis.ArrayRedisMessage;
 import io.netty.handler.codec.redis.ErrorRedisMessage;
 import io.netty.util.collection.LongObjectHashMap;
-import java.util.HashSet;
-import java.util.Set;
 
 /**
  * The open requests of the node. Each one is entered when its command is complete, and removed once
@@ -54,7 +52,7 @@
 
   private final RequestLedger ledger;
   private final LongObjectHashMap<PendingRequest> requests = new LongObjectHashMap<>();
-  private final Set<String> clientRequestIds = new HashSet<>();
+  private final RequestIds clientRequestIds = new RequestIds();
   private long lastRequestId;
   private long bufferedBytes;
 
@@ -95,9 +93,12 @@
     if (!(call.remainingMs() > 0 && call.remainingMs() <= MAX_CLIENT_WAIT_MS)) {
       return "d is out of range";
     }
-    if (clientRequestIds.contains(call.requestId())) {
+    if (clientRequestIds.isOpen(call.requestId())) {
       return "a request of this id is open"; // servers could not tell the two apart
     }
+    if (clientRequestIds.mayHaveRun(call.requestId(), nowMs)) {
+      return "a request of this id may have run";
+    }
     double budgetMs = Math.min(timeBudgetMs(slot, call), killDeadlineMs - nowMs);
     if (isOverPipelineLimit
         || bufferedBytes > MAX_BUFFERED_BYTES
@@ -153,7 +154,7 @@
   }
 
   private void admit(PendingRequest request, boolean isKeyLeader, double budgetMs) {
-    clientRequestIds.add(request.clientRequestId());
+    clientRequestIds.opened(request.clientRequestId());
     bufferedBytes += request.sizeBytes();
     requests.put(request.id(), request);
     openRequests++;
@@ -187,11 +188,23 @@
     if (requests.remove(request.id()) == null) {
       return false;
     }
-    clientRequestIds.remove(request.clientRequestId());
+    if (request.mayHaveRunForLeftClient()) {
+      requestAbandoned(request.clientRequestId());
+    } else {
+      clientRequestIds.closed(request.clientRequestId());
+    }
     bufferedBytes -= request.sizeBytes();
     return true;
   }
 
+  /**
+   * The client of a request has left that may have run, and whose class does not allow that it runs
+   * again: a client that sends it once more gets an error.
+   */
+  void requestAbandoned(String clientRequestId) {
+    clientRequestIds.abandoned(clientRequestId, loop.nowMs());
+  }
+
   /** A value is dropped, as its client reads so slowly that it cannot be buffered. */
   void valueDropped() {
     droppedValues++;
--- a/src/main/java/edgenode/node/StreamedResponse.java
+++ b/src/main/java/edgenode/node/StreamedResponse.java
@@ -15,13 +15,19 @@
  */
 final class StreamedResponse implements ValueSink, OpenRequest, FlowControl {
   private final RequestTable table;
+  private final PendingRequest request;
   private final ResponseSlot slot;
   private final ClassCounters counters;
   private final ValueSource source;
 
   StreamedResponse(
-      RequestTable table, ResponseSlot slot, ClassCounters counters, ValueSource source) {
+      RequestTable table,
+      PendingRequest request,
+      ResponseSlot slot,
+      ClassCounters counters,
+      ValueSource source) {
     this.table = table;
+    this.request = request;
     this.slot = slot;
     this.counters = counters;
     this.source = source;
@@ -66,5 +72,6 @@
   public void clientDisconnected() {
     source.cancel();
     end(RequestOutcome.ABANDONED);
+    request.streamAbandoned();
   }
 }
--- a/src/main/java/edgenode/policy/PolicySettings.java
+++ b/src/main/java/edgenode/policy/PolicySettings.java
@@ -57,4 +57,19 @@
     }
     return false;
   }
+
+  /**
+   * Whether a request of a class that may have run may be sent to any endpoint again, as no effect
+   * happens twice; false for unknown classes.
+   */
+  public boolean isRepeatableAnywhere(String className) {
+    for (RequestClass requestClass : requestClasses) {
+      if (requestClass.name().equals(className)) {
+        return requestClass.idempotency() == Idempotency.IDEMPOTENT
+            || requestClass.idempotency() == Idempotency.KEYED
+                && requestClass.group() == IdempotencyGroup.ALL;
+      }
+    }
+    return false;
+  }
 }
--- a/src/test/java/edgenode/node/ClientDisconnectTest.java
+++ b/src/test/java/edgenode/node/ClientDisconnectTest.java
@@ -218,4 +218,42 @@
     sendGet(other, "03", "refuse", 900); // memory is free again
     assertEquals(List.of("-BUSY 1500"), other.readMessage());
   }
+
+  private static void sendPost(FakePeer.Connection client, String id) throws IOException {
+    client.writeCommand(
+        "CALL.POST", CUSTOMER, id, "c=write,t=p,d=5000,k=1,units=2,spread=3,first=1");
+  }
+
+  /**
+   * Guards against a request that ran twice: its client left before the response, and sent it once
+   * more on another connection, where it was forwarded as a new one. A read may run again.
+   */
+  @Test
+  void requestThatMayHaveRunIsNotRunAgainWhenItComesAgain() throws Exception {
+    start();
+    FakePeer.Connection leaving = connectClient();
+    sendPost(leaving, "01");
+    expectArrival(1, "write");
+    assertEquals("01", serverConnection.readMessage().get(2));
+    closeAndAwaitKernel(leaving, false);
+    expectPolicyEvent("gone 1");
+    serverConnection.writeAppServerValue("done");
+    expectPolicyEvent("ended 1 0 OK true");
+    FakePeer.Connection again = connectClient();
+    sendPost(again, "01");
+    assertEquals(List.of("-ERR a request of this id may have run"), again.readMessage());
+    sendGet(again, "02", "read", 5000);
+    expectArrival(2, "read");
+    assertEquals("02", serverConnection.readMessage().get(2));
+    closeAndAwaitKernel(again, true);
+    expectPolicyEvent("gone 2");
+    serverConnection.writeAppServerValue("read");
+    expectPolicyEvent("ended 2 0 OK true");
+    FakePeer.Connection reader = connectClient();
+    sendGet(reader, "02", "read", 5000);
+    expectArrival(3, "read");
+    assertEquals("02", serverConnection.readMessage().get(2));
+    serverConnection.writeAppServerValue("read again");
+    assertEquals(List.of("read again"), reader.readMessage());
+  }
 }
