Bound the time without progress, not a drain's reader or the whole of a response

Callers saw: in a drain, clients that read a value at 20 KB/s or less were cut off, though they read all the time; responses that an endpoint wrote slowly, or stood still within, failed.

Cause: a drain took 5 s without an acknowledgement for a client that had stopped, and a slow reader's system acknowledges a whole segment at a time, 64 KB on loopback. A response of which a part had come had to be complete within 250 ms of it.

Change: 60 s without an acknowledged byte in a drain as at other times, 15 s once the process is about to end, which waits for its clients (a test wants that within 30 s). A partial response is given up 500 ms after its last byte: an endpoint may stand still for 460 ms. The price: a response that never ends is noticed 250 ms later.

--- a/src/main/java/edgenode/admin/AdminHttpServer.java
+++ b/src/main/java/edgenode/admin/AdminHttpServer.java
@@ -58,6 +58,9 @@
   /** Time for the caller to close its side after the response (ms). */
   private static final double CLOSE_GRACE_MS = 500;
 
+  /** A caller that takes nothing of its response for this time (ms) is disconnected. */
+  private static final double STALL_TIMEOUT_MS = 5000;
+
   private final EdgeEventLoop eventLoop;
   private final AdminOperations operations;
   private final int maxConnections;
@@ -246,7 +249,7 @@
       }
       connections.remove(ctx.channel()); // answered: it does not count at the limit any more
       ctx.write(response);
-      GracefulChannelClose.start(eventLoop, ctx.channel(), CLOSE_GRACE_MS);
+      GracefulChannelClose.start(eventLoop, ctx.channel(), CLOSE_GRACE_MS, () -> STALL_TIMEOUT_MS);
     }
 
     private static String errorJson(String message) {
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -30,9 +30,6 @@
   /** Time (ms) for the client to close its side after we have closed ours. */
   private static final double LINGER_MS = 200;
 
-  /** A client that takes nothing of its responses for this time (ms) is disconnected. */
-  private static final double STALL_TIMEOUT_MS = 60_000;
-
   /** While reading is off, interval (ms) at which it is checked whether the client disconnected. */
   private static final double DISCONNECT_CHECK_INTERVAL_MS = 50;
 
@@ -128,9 +125,7 @@
       progress.reset();
       return;
     }
-    double timeoutMs =
-        listener.isClosing() ? GracefulChannelClose.STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
-    if (progress.stalledMs() > timeoutMs) {
+    if (progress.stalledMs() > listener.stallTimeoutMs()) {
       channel.close();
     }
   }
@@ -414,7 +409,7 @@
       ignoresInput = true;
       listener.evictionOrder().remove(this);
       updateReading();
-      GracefulChannelClose.start(loop, channel, LINGER_MS);
+      GracefulChannelClose.start(loop, channel, LINGER_MS, listener::stallTimeoutMs);
     }
   }
 
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -38,6 +38,16 @@
 
   private static final double SWEEP_INTERVAL_MS = 250;
 
+  /**
+   * A client that takes nothing of its responses for this time (ms) is disconnected, also in a
+   * drain. One that reads slowly is seen to take something only when its system has room for a
+   * whole segment again, or for a sixteenth of its buffer: 64 KB at a time on loopback.
+   */
+  private static final double STALL_TIMEOUT_MS = 60_000;
+
+  /** The same once the process is about to end, which waits for its clients. */
+  private static final double SHUTDOWN_STALL_TIMEOUT_MS = 15_000;
+
   private final EdgeEventLoop loop;
   private final RequestHandler requestHandler;
   private final int maxConnections;
@@ -55,6 +65,7 @@
 
   private boolean isClosing;
   private boolean isReadingStopped;
+  private boolean isShuttingDown;
   private boolean isAcceptingClients = true;
 
   /**
@@ -206,6 +217,11 @@
     }
   }
 
+  /** The process ends once its clients have their responses, or have stopped to read. */
+  public void startShutdown() {
+    isShuttingDown = true;
+  }
+
   /** Closes the listening socket, where there is one; connections stay. */
   public void stopListening() {
     if (listenChannel != null) {
@@ -257,6 +273,11 @@
     return isClosing;
   }
 
+  /** Time (ms) after which a client is disconnected that takes nothing of its responses. */
+  double stallTimeoutMs() {
+    return isShuttingDown ? SHUTDOWN_STALL_TIMEOUT_MS : STALL_TIMEOUT_MS;
+  }
+
   boolean isReadingStopped() {
     return isReadingStopped;
   }
--- a/src/main/java/edgenode/net/upstream/UpstreamConnection.java
+++ b/src/main/java/edgenode/net/upstream/UpstreamConnection.java
@@ -21,8 +21,11 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter {
   private static final int MAX_ARRAY_ELEMENTS = 16;
 
-  /** A response of which a part has come must be complete within this. */
-  private static final double PARTIAL_RESPONSE_TIMEOUT_MS = 250;
+  /**
+   * A response of which a part has come is given up where nothing more comes for this time (ms): an
+   * endpoint may stand still for nearly half a second, and may write a response slowly.
+   */
+  private static final double PARTIAL_RESPONSE_STALL_TIMEOUT_MS = 500;
 
   /**
    * Delay between a response and the next request: a faulty endpoint's second response may come
@@ -51,6 +54,10 @@
   private boolean hasResponded;
 
   private boolean isPartialResponseTimerSet;
+
+  /** When the last bytes of a partial response came (ms); valid while the timer is set. */
+  private double partialResponseAtMs;
+
   private double lastUsedMs;
 
   UpstreamConnection(
@@ -230,15 +237,33 @@
       failMalformed(currentAttempt);
     } else if (hasResponded) {
       release();
-    } else if (currentAttempt != null && hasUndecodedBytes && !isPartialResponseTimerSet) {
-      isPartialResponseTimerSet = true;
-      UpstreamAttempt attempt = currentAttempt;
-      eventLoop.schedule(PARTIAL_RESPONSE_TIMEOUT_MS, () -> failMalformed(attempt));
+    } else if (currentAttempt != null && hasUndecodedBytes) {
+      partialResponseReceived();
     }
     hasResponded = false;
     eventLoop.flushPending();
   }
 
+  private void partialResponseReceived() {
+    partialResponseAtMs = eventLoop.nowMs();
+    if (!isPartialResponseTimerSet) {
+      isPartialResponseTimerSet = true;
+      UpstreamAttempt attempt = currentAttempt;
+      eventLoop.schedule(
+          PARTIAL_RESPONSE_STALL_TIMEOUT_MS, () -> failIfPartialResponseStalled(attempt));
+    }
+  }
+
+  private void failIfPartialResponseStalled(UpstreamAttempt attempt) {
+    double remainingMs =
+        partialResponseAtMs + PARTIAL_RESPONSE_STALL_TIMEOUT_MS - eventLoop.nowMs();
+    if (currentAttempt == attempt && remainingMs > 0) {
+      eventLoop.schedule(remainingMs, () -> failIfPartialResponseStalled(attempt));
+    } else {
+      failMalformed(attempt);
+    }
+  }
+
   /** Does nothing where the attempt is not the current one any more. */
   private void failMalformed(UpstreamAttempt attempt) {
     if (currentAttempt == attempt) {
--- a/src/main/java/edgenode/node/GracefulShutdown.java
+++ b/src/main/java/edgenode/node/GracefulShutdown.java
@@ -85,6 +85,7 @@
     killDeadlineMs = loop.nowMs() + grantedMs;
     components.requests.limitDeadlines(killDeadlineMs);
     drain.startShutdown(loop.nowMs());
+    downstream.startShutdown();
     downstream.stopAcceptingAtSharedAddress();
     updatePhase();
     loop.schedule(LISTEN_AFTER_SIGTERM_MS, this::stopListening);
--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -138,6 +138,24 @@
     assertTrue(client.isClosedByPeer());
   }
 
+  /**
+   * Guards against a value that was cut off in a drain for a client that read slowly: 5 s without
+   * an acknowledgement were taken for a client that had stopped, but its system acknowledges a
+   * whole segment at a time, which took it longer.
+   */
+  @Test
+  void valueIsCompleteWhereItsClientReadsVerySlowlyInADrain() throws Exception {
+    start();
+    drainUntilConnectionsAreClosed();
+    FakePeer.Connection client = connectSlowReader();
+    serveLongValue(client);
+    Thread.sleep(100);
+    client.write(refusedRequest("02")); // unread: a close resets the connection
+    Thread.sleep(7000); // the delay is what is tested
+    assertEquals(LONG_VALUE_BYTES, client.readMessage().get(0).length());
+    assertTrue(client.isClosedByPeer());
+  }
+
   /**
    * Guards against a value that was cut off by an eviction: a client that had been sent its value a
    * while ago was closed at once, over its next command, though its system had not received all.
