Do not take a new process for the one that had its name or its address before

Callers of other deployments reported work that went to the wrong place or ran twice after a new process had come up at an old one's address.

Cause, three places: a keyed retry compared the groups of endpoints as listed now, not as they were when the first attempt was sent; a list may name a new endpoint at the address of one that it has not removed yet, and both were used; an endpoint that a shrunken list lacked was kept in use while the new one at its address answered.

Change: an attempt remembers the endpoint as it was listed. Of the endpoints listed at an address the one that has started last has it (AddressOwners); others get nothing new until they are listed elsewhere or have started later. A missing endpoint whose address is taken is not kept. Failed try: by the order of messages, too; three tests of lists failed on that, one for endpoints that share an address and are alive.

Not shown on processes: emulators and cases list no two endpoints at one address.

--- a/src/main/java/edgenode/membership/Membership.java
+++ b/src/main/java/edgenode/membership/Membership.java
@@ -25,6 +25,8 @@
  *       responds ({@link ShrinkQuarantine}).
  *   <li>It is down while connects to it fail and it has no connection, whatever the lists say
  *       ({@link EndpointLiveness}).
+ *   <li>It is down while another endpoint is listed at its address that has started later ({@link
+ *       AddressOwners}).
  *   <li>It comes up again with a delay, which grows each time that it has gone down lately ({@link
  *       FlapDamping}).
  * </ol>
@@ -266,7 +268,7 @@
   int trackedCount() {
     SourceState current = sources.current();
     return Math.max(
-        Math.max(table.ids().size(), current.endpoints().size()),
+        Math.max(table.ids().size(), Math.max(current.endpoints().size(), sources.addressCount())),
         Math.max(
             current.removedIds().size(), Math.max(warmUps.size(), context.deadlines().size())));
   }
--- a/src/main/java/edgenode/membership/ShrinkQuarantine.java
+++ b/src/main/java/edgenode/membership/ShrinkQuarantine.java
@@ -15,6 +15,7 @@
 
   private final MembershipLimits limits;
   private final Map<String, Hold> holds = new HashMap<>();
+  private final Map<String, String> idsByAddress = new HashMap<>();
   private final Set<String> activeIds = new LinkedHashSet<>();
 
   ShrinkQuarantine(MembershipLimits limits) {
@@ -34,6 +35,12 @@
   /** Keeps an endpoint as it is until a time. */
   void hold(String id, DiscoveredEndpoint endpoint, double untilMs) {
     holds.put(id, new Hold(endpoint, untilMs));
+    idsByAddress.put(endpoint.address(), id);
+  }
+
+  /** The endpoint that is kept at an address, or null. */
+  String idAt(String address) {
+    return idsByAddress.get(address);
   }
 
   boolean isHeld(String id, double nowMs) {
@@ -57,13 +64,16 @@
 
   /** Keeps it no longer. */
   void release(String id) {
-    holds.remove(id);
+    cancel(id);
     activeIds.remove(id);
   }
 
   /** No list lacks it any more, or its removal was reported: the next evaluation releases it. */
   void cancel(String id) {
-    holds.remove(id);
+    Hold hold = holds.remove(id);
+    if (hold != null) {
+      idsByAddress.remove(hold.endpoint.address(), id);
+    }
   }
 
   /** Ids of the endpoints that are in use only because they are kept. */
--- a/src/main/java/edgenode/membership/SourceVersions.java
+++ b/src/main/java/edgenode/membership/SourceVersions.java
@@ -20,6 +20,7 @@
   private final EndpointTable table;
   private final AddressWarmUps warmUps;
   private final ShrinkQuarantine quarantine;
+  private final AddressOwners addressOwners = new AddressOwners();
   private final List<SourceState> retired = new ArrayList<>();
   private SourceState current;
 
@@ -137,6 +138,7 @@
       remove(endpoint.id());
     } else {
       current.putListed(endpoint, context.nowMs());
+      takeAddress(reported);
     }
     table.track(endpoint.id());
     if (isRemoved) {
@@ -144,8 +146,32 @@
     }
   }
 
+  /** Another endpoint that was at the address gets nothing new, whatever the list says yet. */
+  private void takeAddress(DiscoveredEndpoint endpoint) {
+    context.dirtyEndpoints().add(endpoint.id()); // added endpoints are reported before removed
+    if (addressOwners.isListedElsewhere(endpoint)) {
+      context.dirtyEndpoints().addAll(addressOwners.removed(endpoint.id()));
+    }
+    String supersededId = addressOwners.listed(endpoint);
+    if (supersededId != null) {
+      context.dirtyEndpoints().add(supersededId);
+      context.report(
+          "endpoint "
+              + endpoint.id()
+              + " is listed at the address of "
+              + supersededId
+              + ", which gets no further requests");
+    }
+    String heldId = quarantine.idAt(endpoint.address());
+    if (heldId != null && !heldId.equals(endpoint.id())) {
+      quarantine.cancel(heldId);
+      context.dirtyEndpoints().add(heldId);
+    }
+  }
+
   private void remove(String endpointId) {
     current.remove(endpointId, context.nowMs());
+    context.dirtyEndpoints().addAll(addressOwners.removed(endpointId));
     context.checkSourcesAt(context.nowMs() + limits.flapWindowMs());
   }
 
@@ -195,7 +221,8 @@
     if (endpoint == null
         || quarantine.isHeld(id, context.nowMs())
         || !endpoint.isVisiblyUp()
-        || !endpoint.liveness.isHealthy()) {
+        || !endpoint.liveness.isHealthy()
+        || addressOwners.isTakenByOther(endpoint.visible().address(), id)) {
       return false;
     }
     quarantine.hold(id, endpoint.visible(), untilMs);
@@ -347,9 +374,11 @@
     return null;
   }
 
-  /** Whether an older version or a retired source takes the endpoint down. */
+  /** Whether an older version, a retired source or another process at its address does. */
   boolean isTakenDown(DiscoveredEndpoint endpoint) {
-    return current.versions.isContested(endpoint.id()) || isVetoed(endpoint);
+    return current.versions.isContested(endpoint.id())
+        || isVetoed(endpoint)
+        || addressOwners.isSuperseded(endpoint.id());
   }
 
   /** Whether a retired source takes the endpoint down. */
@@ -361,4 +390,9 @@
     }
     return false;
   }
+
+  /** Endpoints whose addresses are remembered, for tests that they are forgotten. */
+  int addressCount() {
+    return addressOwners.size();
+  }
 }
--- a/src/main/java/edgenode/policy/Attempt.java
+++ b/src/main/java/edgenode/policy/Attempt.java
@@ -4,6 +4,10 @@
 final class Attempt {
   final PendingRequest request;
   final Endpoint endpoint;
+
+  /** The endpoint as it was listed when this was sent: it may be listed elsewhere since. */
+  final EndpointInfo sentTo;
+
   final double sentAtMs;
 
   /** How it ended, null while it is in flight. */
@@ -12,6 +16,7 @@
   Attempt(PendingRequest request, Endpoint endpoint, double sentAtMs) {
     this.request = request;
     this.endpoint = endpoint;
+    sentTo = endpoint.info;
     this.sentAtMs = sentAtMs;
   }
 
--- a/src/main/java/edgenode/policy/IdempotencyGroupRule.java
+++ b/src/main/java/edgenode/policy/IdempotencyGroupRule.java
@@ -54,7 +54,7 @@
     for (int i = 0; i < request.attempts.size(); i++) {
       Attempt attempt = request.attempts.get(i);
       if (attempt.mayHaveRun()
-          && !isSameGroup(requestClass.group(), attempt.endpoint.info, endpoint.info)) {
+          && !isSameGroup(requestClass.group(), attempt.sentTo, endpoint.info)) {
         return false;
       }
     }
--- a/src/main/java/edgenode/policy/KnownEndpoints.java
+++ b/src/main/java/edgenode/policy/KnownEndpoints.java
@@ -219,7 +219,7 @@
   void addGroupMembers(PendingRequest request) {
     Set<Object> groups = new LinkedHashSet<>();
     for (Attempt attempt : request.attempts) {
-      groups.add(IdempotencyGroupRule.groupOf(request.requestClass(), attempt.endpoint.info));
+      groups.add(IdempotencyGroupRule.groupOf(request.requestClass(), attempt.sentTo));
     }
     for (Object group : groups) {
       for (EndpointInfo info : subset.groupMembers(group, MAX_GROUP_MEMBERS)) {
--- a/src/test/java/edgenode/policy/PolicyRulesTest.java
+++ b/src/test/java/edgenode/policy/PolicyRulesTest.java
@@ -75,6 +75,26 @@
     assertEquals(1, gateway.actionCount("fail 1"));
   }
 
+  /**
+   * Guards against a request that ran twice: a new process came up under the name of the one that
+   * may have run it, in another cell, and the retry went to that cell.
+   */
+  @Test
+  void keyedRetryStaysInTheCellInWhichItWasSent() {
+    FakeGateway gateway = FakeGateway.withoutCounter().start().listEndpoints(6);
+    gateway.arrive(1, "cell", "big", "c");
+    int first = gateway.lastEndpointNumberOf(1);
+    int otherCell = (first / 2 + 1) % 3;
+    gateway.engine.endpointsChanged(
+        gateway.nowMs,
+        List.of(new EndpointInfo("s" + first, otherCell, "a", EndpointState.UP, "k", 1, 1)),
+        false);
+    gateway.endAttempt(1, 0, CallOutcome.RESET);
+    int second = gateway.lastEndpointNumberOf(1);
+    assertEquals(first / 2, second / 2);
+    assertNotEquals(first, second);
+  }
+
   @Test
   void keyedRetryStaysInItsZone() {
     FakeGateway gateway = FakeGateway.withoutCounter().start().listEndpoints(4);
