Go on accepting as soon as a connection may be evicted, not when one closes

Cause: at the limit a silent connection is evicted after 500 ms only; without one the listener stopped accepting, and looked again when a connection closed, but not when time had passed or connections had become idle.

Change: while nothing is accepted, a timer looks again when the first connection may be evicted; a connection that becomes idle sets it, too.

--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -308,7 +308,7 @@
       if (listener.isClosing() || ignoresInput) {
         closeGracefully();
       } else if (hasReceivedCommand) {
-        listener.evictionOrder().allResponsesWritten(this, loop.nowMs());
+        listener.connectionIdle(this);
       }
     }
     if (!channel.config().isAutoRead() || responses.isStreamNext()) {
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -38,6 +38,11 @@
 
   private static final double SWEEP_INTERVAL_MS = 250;
 
+  /**
+   * Least time (ms) between evictions while nothing is accepted: most connections close at once.
+   */
+  private static final double MIN_EVICTION_DELAY_MS = 20;
+
   /**
    * A client that takes nothing of its responses for this time (ms) is disconnected, also in a
    * drain. One that reads slowly is seen to take something only when its system has room for a
@@ -63,6 +68,10 @@
   /** Null until the address is bound. */
   private Channel listenChannel;
 
+  /** Nothing is accepted, as the limit is reached. */
+  private boolean isAcceptPaused;
+
+  private boolean isEvictionScheduled;
   private boolean isClosing;
   private boolean isReadingStopped;
   private boolean isShuttingDown;
@@ -149,8 +158,8 @@
   }
 
   /**
-   * Above the limit evicts a connection; where none may be evicted, stops accepting until one
-   * closes.
+   * Above the limit evicts a connection; where none may be evicted, stops accepting. That ends when
+   * a connection closes, or when one may be evicted: as time has passed, or as it is idle by now.
    */
   void enforceConnectionLimit() {
     if (connections.size() > maxConnections) {
@@ -159,10 +168,33 @@
         evicted.evict();
       }
     }
-    listenChannel
-        .config()
-        .setAutoRead(
-            connections.size() < maxConnections + Math.max(1, maxConnections * OVER_LIMIT_SHARE));
+    double maxAccepted = maxConnections + Math.max(1, maxConnections * OVER_LIMIT_SHARE);
+    isAcceptPaused = connections.size() >= maxAccepted;
+    listenChannel.config().setAutoRead(!isAcceptPaused);
+    evictLater();
+  }
+
+  /** All commands of a connection are answered: it may be evicted. */
+  void connectionIdle(ClientConnection connection) {
+    evictionOrder.allResponsesWritten(connection, loop.nowMs());
+    evictLater();
+  }
+
+  /** While nothing is accepted, looks again as soon as a connection may be evicted. */
+  private void evictLater() {
+    double evictableAtMs = evictionOrder.nextEvictableMs();
+    if (isAcceptPaused && !isEvictionScheduled && evictableAtMs < Double.POSITIVE_INFINITY) {
+      isEvictionScheduled = true;
+      double delayMs = Math.max(MIN_EVICTION_DELAY_MS, evictableAtMs - loop.nowMs());
+      loop.schedule(delayMs, this::evictionDue);
+    }
+  }
+
+  private void evictionDue() {
+    isEvictionScheduled = false;
+    if (isAcceptPaused) {
+      enforceConnectionLimit();
+    }
   }
 
   /**
--- a/src/main/java/edgenode/net/downstream/EvictionOrder.java
+++ b/src/main/java/edgenode/net/downstream/EvictionOrder.java
@@ -128,6 +128,21 @@
     return first != null ? first : oldest(idle, nowMs);
   }
 
+  /**
+   * Returns when {@link #nextToEvict} is not null by time alone, which may have passed; infinity
+   * where each connection awaits a response.
+   */
+  double nextEvictableMs() {
+    double silentMs = beginOfOldest(silent) + SILENT_GRACE_MS;
+    double partialMs = beginOfOldest(withPartialCommand) + PARTIAL_COMMAND_GRACE_MS;
+    return Math.min(beginOfOldest(idle), Math.min(silentMs, partialMs));
+  }
+
+  private double beginOfOldest(Set<C> order) {
+    Iterator<C> iterator = order.iterator();
+    return iterator.hasNext() ? entries.get(iterator.next()).sinceMs : Double.POSITIVE_INFINITY;
+  }
+
   private C oldest(Set<C> order, double sinceLimitMs) {
     Iterator<C> iterator = order.iterator();
     if (!iterator.hasNext()) {
--- a/src/test/java/edgenode/net/downstream/EvictionOrderProperties.java
+++ b/src/test/java/edgenode/net/downstream/EvictionOrderProperties.java
@@ -60,6 +60,8 @@
         default -> {}
       }
       assertEquals(expectedEviction(model, nowMs), evictionOrder.nextToEvict(nowMs));
+      assertEquals(
+          evictionOrder.nextToEvict(nowMs) != null, evictionOrder.nextEvictableMs() <= nowMs);
     }
   }
 
--- a/src/test/java/edgenode/node/MisbehavingClientTest.java
+++ b/src/test/java/edgenode/node/MisbehavingClientTest.java
@@ -199,4 +199,41 @@
     assertEquals(List.of("-BUSY 1500"), slow.readMessage());
     assertTrue(crowd.get(0).isClosedByPeer());
   }
+
+  /**
+   * Guards against a pause of accepting that lasted until a connection closed: of the silent
+   * clients that had used up the limit, none was evicted when its grace was over.
+   */
+  @Test
+  void acceptingGoesOnWhenTheGraceOfSilentClientsIsOver() throws Exception {
+    maxDescriptors = 80; // 22 connections: half of the 55 % share at such a low limit
+    start();
+    for (int i = 0; i < 40; i++) {
+      connectClient();
+    }
+    double startedMs = System.nanoTime() / 1e6;
+    FakePeer.Connection client = connectClient();
+    sendGet(client, "01", "refuse", 9000);
+    assertEquals(List.of("-BUSY 1500"), client.readMessage());
+    double waitedMs = System.nanoTime() / 1e6 - startedMs;
+    // 500 ms for each of the two crowds that fill the limit; silent clients get an error after 2.5
+    // s
+    assertTrue(waitedMs < 2000, waitedMs + " ms");
+  }
+
+  /** Guards against a pause of accepting that lasted though connections had become idle. */
+  @Test
+  void acceptingGoesOnWhenConnectionsBecomeIdle() throws Exception {
+    maxDescriptors = 80; // 22 connections
+    start();
+    List<FakePeer.Connection> clients = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      FakePeer.Connection client = connectClient();
+      sendGet(client, "0" + i, "hold", 400);
+      clients.add(client);
+    }
+    for (FakePeer.Connection client : clients) { // none closes its connection
+      assertEquals(List.of("-ERR failed"), client.readMessage());
+    }
+  }
 }
