Ask the kernel for unread bytes where the event loop has not looked for them

Cause: the delay before a connection is used again was measured on the node's clock alone. After a hold-up a second answer lay unread, and a request that was read first in that pass was written on its connection.

Change: a connection is used again only if a pass of the loop that began after the delay has ended, or TCP_INFO says that the kernel has received no more than was read; it is asked only where the passes do not tell.

--- a/src/main/java/edgenode/eventloop/EdgeEventLoop.java
+++ b/src/main/java/edgenode/eventloop/EdgeEventLoop.java
@@ -18,6 +18,14 @@
    */
   double queueingDelayMs();
 
+  /**
+   * Time (ms) by which all that had arrived on the loop's connections has been read; negative
+   * infinity where that is not known.
+   */
+  default double handledUntilMs() {
+    return Double.NEGATIVE_INFINITY;
+  }
+
   /**
    * Runs a task on the loop after a delay.
    *
--- a/src/main/java/edgenode/eventloop/NettyEdgeEventLoop.java
+++ b/src/main/java/edgenode/eventloop/NettyEdgeEventLoop.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.util.concurrent.Future;
 import java.util.LinkedHashSet;
 import java.util.Set;
@@ -23,6 +24,10 @@
   private final Transport transport;
   private final Clock clock;
   private final Consumer<String> log;
+
+  /** Null where the group's passes are not noted. */
+  private final IoPassTimes passTimes;
+
   private final Set<Channel> unflushedChannels = new LinkedHashSet<>();
   private final QueueingDelayEstimator queueingDelay = new QueueingDelayEstimator();
   private int loggedLines;
@@ -35,6 +40,16 @@
    */
   public NettyEdgeEventLoop(
       EventLoopGroup group, Transport transport, Clock clock, Consumer<String> log) {
+    this(group, transport, clock, log, null);
+  }
+
+  private NettyEdgeEventLoop(
+      EventLoopGroup group,
+      Transport transport,
+      Clock clock,
+      Consumer<String> log,
+      IoPassTimes passTimes) {
+    this.passTimes = passTimes;
     this.group = group;
     this.transport = transport;
     this.clock = clock;
@@ -43,8 +58,19 @@
 
   /** A new loop with a thread of its own, sockets, the system's clock and standard error as log. */
   public static NettyEdgeEventLoop create() {
+    Clock clock = Clock.system();
+    IoPassTimes passTimes = new IoPassTimes(Transport.newIoHandlerFactory(), clock);
     return new NettyEdgeEventLoop(
-        Transport.newEventLoopGroup(), Transport.SOCKETS, Clock.system(), System.err::println);
+        new MultiThreadIoEventLoopGroup(1, passTimes),
+        Transport.SOCKETS,
+        clock,
+        System.err::println,
+        passTimes);
+  }
+
+  @Override
+  public double handledUntilMs() {
+    return passTimes == null ? Double.NEGATIVE_INFINITY : passTimes.handledUntilMs();
   }
 
   @Override
--- a/src/main/java/edgenode/eventloop/SocketTransport.java
+++ b/src/main/java/edgenode/eventloop/SocketTransport.java
@@ -37,6 +37,7 @@
 
   private static final int UNACKED_SEGMENTS_OFFSET = 24;
   private static final int ACKNOWLEDGED_BYTES_OFFSET = 120;
+  private static final int RECEIVED_BYTES_OFFSET = 128;
   private static final int NOT_SENT_BYTES_OFFSET = 144;
 
   /** Level and name of the socket option (tcp(7)). */
@@ -113,22 +114,33 @@
 
   @Override
   public Delivery deliveryOf(Channel connection) {
-    try {
-      if (connection instanceof EpollSocketChannel socket && socket.isActive()) {
-        ByteBuffer info =
-            socket
-                .config()
-                .getOption(
-                    new RawUnixChannelOption("TCP_INFO", IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES))
-                .order(ByteOrder.nativeOrder());
-        return new Delivery(
+    ByteBuffer info = tcpInfo(connection);
+    return info == null
+        ? Delivery.UNKNOWN
+        : new Delivery(
             info.getInt(UNACKED_SEGMENTS_OFFSET) == 0 && info.getInt(NOT_SENT_BYTES_OFFSET) == 0,
             info.getLong(ACKNOWLEDGED_BYTES_OFFSET));
+  }
+
+  @Override
+  public boolean hasUnreadBytes(Channel connection, long readBytes) {
+    ByteBuffer info = tcpInfo(connection);
+    return info != null && info.getLong(RECEIVED_BYTES_OFFSET) > readBytes;
+  }
+
+  /** The kernel's struct tcp_info, or null where the system does not say. */
+  private static ByteBuffer tcpInfo(Channel connection) {
+    try {
+      if (connection instanceof EpollSocketChannel socket && socket.isActive()) {
+        return socket
+            .config()
+            .getOption(new RawUnixChannelOption("TCP_INFO", IPPROTO_TCP, TCP_INFO, TCP_INFO_BYTES))
+            .order(ByteOrder.nativeOrder());
       }
     } catch (ChannelException e) {
       // it has just been closed, or the system does not say
     }
-    return Delivery.UNKNOWN;
+    return null;
   }
 
   @Override
--- a/src/main/java/edgenode/eventloop/Transport.java
+++ b/src/main/java/edgenode/eventloop/Transport.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollIoHandler;
@@ -64,6 +65,16 @@
     return Delivery.UNKNOWN;
   }
 
+  /**
+   * Whether the peer has sent bytes that have not been read, asked of the system without reading.
+   * Also false where this is not supported.
+   *
+   * @param readBytes that have been read from the connection
+   */
+  default boolean hasUnreadBytes(Channel connection, long readBytes) {
+    return false;
+  }
+
   /** Whether a connect failed as the peer refused it, rather than by a time-out. */
   static boolean isRefused(Throwable cause) {
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
@@ -84,7 +95,11 @@
 
   /** A new event loop with one thread for {@link #SOCKETS}. */
   static EventLoopGroup newEventLoopGroup() {
-    return new MultiThreadIoEventLoopGroup(
-        1, SocketTransport.HAS_EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory());
+    return new MultiThreadIoEventLoopGroup(1, newIoHandlerFactory());
+  }
+
+  /** Makes the part of an event loop that handles {@link #SOCKETS}. */
+  static IoHandlerFactory newIoHandlerFactory() {
+    return SocketTransport.HAS_EPOLL ? EpollIoHandler.newFactory() : NioIoHandler.newFactory();
   }
 }
--- a/src/main/java/edgenode/net/resp/RespCodec.java
+++ b/src/main/java/edgenode/net/resp/RespCodec.java
@@ -18,7 +18,6 @@
 import io.netty.handler.codec.redis.RedisDecoder;
 import io.netty.handler.codec.redis.RedisEncoder;
 import io.netty.handler.codec.redis.RedisMessage;
-import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -94,6 +93,7 @@
    */
   public static final class UndecodedByteCounter extends ChannelInboundHandlerAdapter {
     private long pendingBytes;
+    private long receivedBytes;
     private boolean isDiscarding;
     private LongValueDecoder longValueDecoder;
 
@@ -105,6 +105,11 @@
       return pendingBytes;
     }
 
+    /** All bytes that have been read from the channel. */
+    public long receivedBytes() {
+      return receivedBytes;
+    }
+
     /** What comes from now on is not decoded, and so not buffered. */
     public void discardInput() {
       isDiscarding = true;
@@ -119,11 +124,12 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
+      ByteBuf bytes = (ByteBuf) msg;
+      receivedBytes += bytes.readableBytes();
       if (isDiscarding) {
-        ReferenceCountUtil.release(msg);
+        bytes.release();
         return;
       }
-      ByteBuf bytes = (ByteBuf) msg;
       pendingBytes += bytes.readableBytes();
       if (partialMessage == null) {
         ctx.fireChannelRead(bytes);
--- a/src/main/java/edgenode/net/upstream/UpstreamConnection.java
+++ b/src/main/java/edgenode/net/upstream/UpstreamConnection.java
@@ -88,7 +88,16 @@
   }
 
   boolean isReusable(double nowMs) {
-    return nowMs - lastUsedMs >= REUSE_DELAY_MS && channel.isActive();
+    return nowMs - lastUsedMs >= REUSE_DELAY_MS && channel.isActive() && !mayHoldResponse();
+  }
+
+  /**
+   * Whether a second response may lie unread, as the event loop has not looked since. The system is
+   * asked only where a pass of the loop has not shown it.
+   */
+  private boolean mayHoldResponse() {
+    return eventLoop.handledUntilMs() < lastUsedMs + REUSE_DELAY_MS
+        && eventLoop.transport().hasUnreadBytes(channel, undecodedBytes.receivedBytes());
   }
 
   double lastUsedMs() {
--- a/src/test/java/edgenode/node/MalformedResponseTest.java
+++ b/src/test/java/edgenode/node/MalformedResponseTest.java
@@ -73,6 +73,36 @@
     assertEquals(3, counted, "this machine is too slow to tell");
   }
 
+  /**
+   * Guards against a value made for another request: while the event loop was held up, a second
+   * response came within the delay before reuse, and lay unread when the connection was used again.
+   */
+  @Test
+  void responseThatLiesUnreadIsNotTheNextRequests() throws Exception {
+    start();
+    FakePeer.Connection client = connectClient();
+    final FakePeer.Connection next = connectClient();
+    next.writeCommand("PING");
+    assertEquals(List.of("+PONG"), next.readMessage());
+    FakePeer.Connection stalling = connectClient();
+    sendGet(client, "01", "read", 9000);
+    expectArrival(1, "read");
+    serverConnection.readMessage();
+    serverConnection.writeAppServerValue("one");
+    assertEquals(List.of("one"), client.readMessage());
+    expectPolicyEvent("ended 1 0 OK true");
+    sendGet(stalling, "02", "stall", 9000);
+    expectArrival(2, "stall"); // the loop is held up
+    sendGet(next, "03", "read", 9000); // the loop finds this first, then the second response
+    Thread.sleep(20); // longer than the delay before reuse
+    serverConnection.writeAppServerValue("one");
+    Thread.sleep(20);
+    stallLatch.countDown();
+    FakePeer.Connection other = connectionCarrying("03");
+    other.writeAppServerValue("own");
+    assertEquals(List.of("own"), next.readMessage());
+  }
+
   /** Returns the connection on which this request arrives. */
   private FakePeer.Connection connectionCarrying(String id) throws Exception {
     while (true) {
