Do not count a held value where a response behind it looks for a buffer

Found by reading the change again: a value that is held back counts in its connection's buffered bytes, and a response behind it, which has run, would have been dropped (-ERR failed) and further requests not started where others hold values, too.

Change: the connection's share is reckoned without the held value; the total is not.

Measured: StreamFlowTest.responseBehindAHeldValueMayBeBuffered passes; by its figures (1.6 MiB free, 1 MiB held, 64 KiB asked for) the former reckoning says no.

--- a/src/main/java/edgenode/net/downstream/ResponseQueue.java
+++ b/src/main/java/edgenode/net/downstream/ResponseQueue.java
@@ -101,7 +101,7 @@
 
   /** Starts commands, in their order, while their responses can be buffered. */
   private void startUnstarted() {
-    while (!unstartedSlots.isEmpty() && budget.canStart(bufferedBytes, startedRequests)) {
+    while (!unstartedSlots.isEmpty() && budget.canStart(bytesBesidesHeldValue(), startedRequests)) {
       startedRequests++;
       unstartedSlots.poll().start();
     }
@@ -144,7 +144,18 @@
 
   /** Whether a value of this size can be written now, or buffered until then. */
   boolean canBuffer(ResponseSlot slot, int valueBytes) {
-    return canWriteAtOnce(slot) || budget.canBuffer(bufferedBytes, valueBytes);
+    return canWriteAtOnce(slot) || budget.canBuffer(bytesBesidesHeldValue(), valueBytes);
+  }
+
+  /** Buffered bytes, less a value that is held back: responses behind it are not to be dropped. */
+  private long bytesBesidesHeldValue() {
+    ResponseSlot first = slots.peek();
+    boolean hasHeldValue =
+        first != null
+            && first.isStreaming()
+            && first.streamedValue().isHeld()
+            && first.streamedValue().hasHoldBuffer();
+    return hasHeldValue ? bufferedBytes - first.bufferedBytes() : bufferedBytes;
   }
 
   // ---- buffering ----
@@ -263,9 +274,9 @@
   }
 
   /**
-   * Collects the value in a buffer; without room for that, leaves it at its source. The end of the
-   * value or of its time goes on with it, and in the latter case also {@link #updateFlow}, which
-   * looks for room.
+   * Collects the value in a buffer; without room for that, leaves it at its source, and {@link
+   * #updateFlow} looks for room again. The last byte of the value, its failure or the timer ends
+   * that.
    */
   private void holdBack(ResponseSlot slot) {
     StreamedValue value = slot.streamedValue();
--- a/src/test/java/edgenode/net/downstream/StreamFlowTest.java
+++ b/src/test/java/edgenode/net/downstream/StreamFlowTest.java
@@ -4,12 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import edgenode.eventloop.NettyEdgeEventLoop;
+import edgenode.net.resp.RespCodec;
 import io.netty.buffer.Unpooled;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,6 +59,10 @@
   }
 
   private final NettyEdgeEventLoop loop = NettyEdgeEventLoop.create();
+
+  /** Of the commands, in their order. */
+  private final BlockingQueue<ResponseSlot> slots = new LinkedBlockingQueue<>();
+
   private ClientListener listener;
   private double maxHoldMs = 1000;
   private int port;
@@ -66,6 +73,7 @@
         new ClientListener(
             loop,
             (slot, command, isOverPipelineLimit) -> {
+              slots.add(slot);
               loop.schedule(CHUNK_INTERVAL_MS, () -> startStreaming(slot));
               return null;
             },
@@ -126,6 +134,23 @@
     }
   }
 
+  /** Guards against dropping a response because the value before it is held back. */
+  @Test
+  void responseBehindAHeldValueMayBeBuffered() throws Exception {
+    maxHoldMs = READ_TIMEOUT_MS;
+    addBytesOfOtherConnections(ResponseBufferBudget.MAX_TOTAL_BYTES - VALUE_BYTES * 8L / 5);
+    try (Socket client = connect()) {
+      client.getOutputStream().write(COMMAND);
+      client.getOutputStream().write(COMMAND);
+      slots.take();
+      ResponseSlot behind = slots.take();
+      Thread.sleep(100); // the value is held back by now
+      boolean canBuffer =
+          loop.group().submit(() -> behind.canBuffer(RespCodec.MAX_VALUE_BYTES)).get();
+      assertTrue(canBuffer);
+    }
+  }
+
   private void startStreaming(ResponseSlot slot) {
     ChunkSource source = new ChunkSource(slot);
     slot.startStreaming(VALUE_BYTES, source, maxHoldMs);
