Bound the customers that are remembered by the heap, not by a number

Need: 30,000 customers fit a heap of 64 MB, and would have been a limit for a node with more: docs/CAPACITY.md has 100,000 of them.

Measured: CustomerMemoryTest, with a limit of its own, passes.

--- a/src/main/java/edgenode/policy/CustomerTable.java
+++ b/src/main/java/edgenode/policy/CustomerTable.java
@@ -11,23 +11,37 @@
   /** With more customers, those of which nothing has been sent are not remembered. */
   static final int MANY_CUSTOMERS = 4096;
 
-  /** With as many, requests of further customers are rejected: some 700 bytes of heap each. */
-  static final int MAX_CUSTOMERS = 30_000;
+  /** Heap (bytes) that a customer takes. */
+  private static final int CUSTOMER_BYTES = 700;
+
+  /** Customers may take this part of the heap together; requests of further ones are rejected. */
+  private static final int HEAP_DIVISOR = 3;
 
   private final boolean hasCounter;
   private final PolicyTimers timers;
+  private final int maxCustomers;
   private final Map<String, QuotaPlan> plans = new HashMap<>();
   private final Map<String, Customer> byName = new HashMap<>();
   private final Set<Customer> active = new LinkedHashSet<>();
 
-  CustomerTable(PolicySettings settings, PolicyTimers timers) {
+  /**
+   * @param maxCustomers that are remembered at most
+   */
+  CustomerTable(PolicySettings settings, PolicyTimers timers, int maxCustomers) {
     this.timers = timers;
+    this.maxCustomers = maxCustomers;
     hasCounter = settings.capabilities().hasCounter();
     for (QuotaPlan plan : settings.plans()) {
       plans.put(plan.name(), plan);
     }
   }
 
+  /** How many customers a process with this heap may remember. */
+  static int maxCustomersOfHeap() {
+    long heapBytes = Runtime.getRuntime().maxMemory();
+    return (int) Math.min(Integer.MAX_VALUE, heapBytes / HEAP_DIVISOR / CUSTOMER_BYTES);
+  }
+
   /** The plan of a name, null where the settings have none. */
   QuotaPlan findPlan(String planName) {
     return plans.get(planName);
@@ -44,7 +58,7 @@
     double nowMs = timers.nowMs();
     Customer customer = byName.get(request.customerName());
     if (customer == null) {
-      if (byName.size() >= MAX_CUSTOMERS) {
+      if (byName.size() >= maxCustomers) {
         return null;
       }
       customer =
--- a/src/main/java/edgenode/policy/PolicyEngine.java
+++ b/src/main/java/edgenode/policy/PolicyEngine.java
@@ -51,12 +51,25 @@
    */
   public PolicyEngine(
       PolicySettings settings, long seed, double nowMs, PolicyActions actions, int minSubsetSize) {
+    this(settings, seed, nowMs, actions, minSubsetSize, CustomerTable.maxCustomersOfHeap());
+  }
+
+  /**
+   * @param maxCustomers that are remembered at most
+   */
+  PolicyEngine(
+      PolicySettings settings,
+      long seed,
+      double nowMs,
+      PolicyActions actions,
+      int minSubsetSize,
+      int maxCustomers) {
     this.actions = actions;
     settlesUnits = settings.settlesUnits();
     Random random = new Random(seed);
     timers = new PolicyTimers(settings, actions, nowMs);
     requestClasses = new RequestClassTable(settings);
-    customers = new CustomerTable(settings, timers);
+    customers = new CustomerTable(settings, timers, maxCustomers);
     discovery = new DiscoveryPolling(settings, timers, actions, random);
 
     double meanObjectiveMs = requestClasses.meanObjectiveMs();
