--- a/src/main/java/edgenode/eventloop/DeliveryProgress.java
+++ b/src/main/java/edgenode/eventloop/DeliveryProgress.java
@@ -28,9 +28,13 @@
     return buffer == null ? 0 : buffer.totalPendingWriteBytes();
   }
 
-  /** Nothing is undelivered: the time without progress begins anew. */
-  public void reset() {
-    lastProgressMs = loop.nowMs();
+  /**
+   * Nothing is undelivered: the time without progress begins anew.
+   *
+   * @param nowMs the loop's clock (ms)
+   */
+  public void reset(double nowMs) {
+    lastProgressMs = nowMs;
   }
 
   /** For how long (ms) the peer has taken nothing, seen from the calls of this method. */
--- a/src/main/java/edgenode/net/downstream/ClientConnection.java
+++ b/src/main/java/edgenode/net/downstream/ClientConnection.java
@@ -119,10 +119,12 @@
   /**
    * Closes the connection where its client has stopped to read its responses. One that waits for an
    * earlier command's response has nothing in the channel that its client could read.
+   *
+   * @param nowMs the loop's clock (ms)
    */
-  void closeIfStalled() {
+  void closeIfStalled(double nowMs) {
     if (responses.unwrittenBytes() == 0) {
-      progress.reset();
+      progress.reset(nowMs);
       return;
     }
     if (progress.stalledMs() > listener.stallTimeoutMs()) {
--- a/src/main/java/edgenode/net/downstream/ClientListener.java
+++ b/src/main/java/edgenode/net/downstream/ClientListener.java
@@ -143,15 +143,15 @@
    */
   private void sweep() {
     loop.schedule(SWEEP_INTERVAL_MS, this::sweep);
-    double overdueSinceMs = loop.nowMs() - COMMAND_TIMEOUT_MS;
+    double nowMs = loop.nowMs();
     for (ClientConnection connection : connections.toArray(new ClientConnection[0])) {
       connection.responses().useFreedBuffers();
-      connection.closeIfStalled();
-      if (connection.isCommandOverdue(overdueSinceMs)) {
+      connection.closeIfStalled(nowMs);
+      if (connection.isCommandOverdue(nowMs - COMMAND_TIMEOUT_MS)) {
         connection.rejectInput("no whole command came");
       } else if (isClosing
           && connection.isBetweenRequests()
-          && connection.acceptedAtMs() < loop.nowMs() - EvictionOrder.SILENT_GRACE_MS) {
+          && connection.acceptedAtMs() < nowMs - EvictionOrder.SILENT_GRACE_MS) {
         connection.closeGracefully(); // accepted after the others were closed, and silent
       }
     }
--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import edgenode.drain.DrainController;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -14,6 +12,9 @@
 class ConnectionEndTest extends EdgeNodeFixture {
   private static final int LONG_VALUE_BYTES = 600_000;
 
+  /** Small: else the kernel takes the whole value. */
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
+
   @BeforeEach
   void enableAdmin() {
     hasAdminAddress = true;
@@ -104,16 +105,6 @@
     assertTrue(client.isClosedByPeer());
   }
 
-  private FakePeer.Connection connectSlowReader() throws Exception {
-    Socket socket = new Socket();
-    socket.setReceiveBufferSize(16 << 10); // else the kernel takes the whole value
-    socket.connect(
-        new InetSocketAddress("127.0.0.1", ((InetSocketAddress) node.address()).getPort()));
-    FakePeer.Connection client = new FakePeer.Connection(socket);
-    resources.add(client);
-    return client;
-  }
-
   private void serveLongValue(FakePeer.Connection client) throws Exception {
     sendGet(client, "01", "read", 4000);
     assertEquals("01", serverConnection.readMessage().get(2));
@@ -129,7 +120,7 @@
   void valueIsCompleteWhereItsClientReadsSlowlyInADrain() throws Exception {
     start();
     drainUntilConnectionsAreClosed();
-    FakePeer.Connection client = connectSlowReader();
+    FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
     serveLongValue(client);
     Thread.sleep(100);
     client.write(refusedRequest("02"));
@@ -147,7 +138,7 @@
   void valueIsCompleteWhereItsClientReadsVerySlowlyInADrain() throws Exception {
     start();
     drainUntilConnectionsAreClosed();
-    FakePeer.Connection client = connectSlowReader();
+    FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
     serveLongValue(client);
     Thread.sleep(100);
     client.write(refusedRequest("02")); // unread: a close resets the connection
@@ -164,7 +155,7 @@
   void valueAndNextCommandAreCompleteWhereTheClientIsEvicted() throws Exception {
     maxDescriptors = 80; // 22 connections: half of the 55 % share at such a low limit
     start();
-    FakePeer.Connection client = connectSlowReader();
+    FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
     serveLongValue(client);
     for (int i = 0; i < 20; i++) {
       FakePeer.Connection other = connectClient();
@@ -196,7 +187,7 @@
   void responseBeforeABrokenValueIsComplete() throws Exception {
     start();
     drainUntilConnectionsAreClosed();
-    FakePeer.Connection client = connectSlowReader();
+    FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
     sendGet(client, "01", "read", 4000);
     sendGet(client, "02", "read", 4000);
     FakePeer.Connection second = appServer.accept();
--- a/src/test/java/edgenode/node/EdgeNodeFixture.java
+++ b/src/test/java/edgenode/node/EdgeNodeFixture.java
@@ -17,6 +17,7 @@
 import edgenode.policy.PolicyEvents;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -339,6 +340,17 @@
     return connection;
   }
 
+  /** A client whose kernel takes little of what the client does not read. */
+  FakePeer.Connection connectSlowReader(int receiveBufferBytes) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(receiveBufferBytes);
+    socket.connect(
+        new InetSocketAddress("127.0.0.1", ((InetSocketAddress) node.address()).getPort()));
+    FakePeer.Connection connection = new FakePeer.Connection(socket);
+    resources.add(connection);
+    return connection;
+  }
+
   /** A figure of the telemetry; its path consists of the names in the JSON object. */
   String figure(String path) throws IOException {
     return AdminClient.call(node.adminAddress(), "GET /api/telemetry").values().get(path);
--- a/src/test/java/edgenode/node/PipelinedStreamTest.java
+++ b/src/test/java/edgenode/node/PipelinedStreamTest.java
@@ -38,10 +38,32 @@
     return client;
   }
 
+  /** Has a value streamed to a client, up to its first part. */
+  private void beginStream(FakePeer.Connection client) throws Exception {
+    beginStream(client, "");
+  }
+
+  /**
+   * @param nextBytes of the client, sent before the value begins
+   */
+  private void beginStream(FakePeer.Connection client, String nextBytes) throws Exception {
+    sendGet(client, "01", "read", 8000);
+    ofFirst = serverConnection;
+    ofFirst.readMessage();
+    client.write(nextBytes);
+    writeFirstPart();
+    assertEquals("$" + VALUE_BYTES, client.readLine());
+  }
+
   private void writeFirstPart() throws IOException {
     ofFirst.write("*3\r\n$" + VALUE_BYTES + "\r\n" + "x".repeat(FIRST_PART_BYTES));
   }
 
+  private static void readStreamedValue(FakePeer.Connection client) throws IOException {
+    assertEquals(VALUE_BYTES, client.input.readNBytes(VALUE_BYTES).length);
+    assertEquals("", client.readLine());
+  }
+
   private void writeRest() throws IOException {
     ofFirst.write(REST + "\r\n$-1\r\n$-1\r\n");
   }
@@ -101,11 +123,7 @@
   void commandSentWithinAStreamedValueIsNotReadWhereTheValueBreaksOff() throws Exception {
     start();
     FakePeer.Connection client = connectClient();
-    sendGet(client, "01", "read", 8000);
-    ofFirst = serverConnection;
-    ofFirst.readMessage();
-    writeFirstPart();
-    assertEquals("$" + VALUE_BYTES, client.readLine());
+    beginStream(client);
     sendGet(client, "02", "read", 8000);
     assertEquals(null, appServer.poll(500)); // it is not forwarded
     ofFirst.close();
@@ -127,15 +145,10 @@
   void commandSentWithinAStreamedValueIsAnsweredBehindIt() throws Exception {
     start();
     FakePeer.Connection client = connectClient();
-    sendGet(client, "01", "read", 8000);
-    ofFirst = serverConnection;
-    ofFirst.readMessage();
-    writeFirstPart();
-    assertEquals("$" + VALUE_BYTES, client.readLine());
+    beginStream(client);
     sendGet(client, "02", "refuse", 8000);
     writeRest();
-    assertEquals(VALUE_BYTES, client.input.readNBytes(VALUE_BYTES).length);
-    assertEquals("", client.readLine());
+    readStreamedValue(client);
     assertEquals(List.of("-BUSY 1500"), client.readMessage());
   }
 
@@ -147,17 +160,11 @@
   void partialCommandBeforeALongStreamIsNotOverdue() throws Exception {
     start();
     FakePeer.Connection client = connectClient();
-    sendGet(client, "01", "read", 8000);
-    ofFirst = serverConnection;
-    ofFirst.readMessage();
-    client.write("*1\r\n$4\r\nPI");
-    writeFirstPart();
-    assertEquals("$" + VALUE_BYTES, client.readLine());
+    beginStream(client, "*1\r\n$4\r\nPI");
     client.write("NG\r\n");
     Thread.sleep(3000); // longer than a client may take for a command
     writeRest();
-    assertEquals(VALUE_BYTES, client.input.readNBytes(VALUE_BYTES).length);
-    assertEquals("", client.readLine());
+    readStreamedValue(client);
     assertEquals(List.of("+PONG"), client.readMessage());
   }
 }
--- a/src/test/java/edgenode/node/SlowReaderTest.java
+++ b/src/test/java/edgenode/node/SlowReaderTest.java
@@ -6,8 +6,6 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufAllocatorMetricProvider;
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,6 +17,7 @@
   private static final String VALUE = "v".repeat(60_000);
   private static final int COMMANDS_AT_ONCE = 150;
   private static final int SLOW_READERS = 6;
+  private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
 
   /** Direct memory of the whole node in the deploy file's command, less a half for other uses. */
   private static final long MAX_DIRECT_BYTES = 16L << 20;
@@ -68,17 +67,6 @@
     answering.start();
   }
 
-  /** A client whose kernel buffers little of what the client does not read. */
-  private FakePeer.Connection connectSlowReader() throws IOException {
-    Socket socket = new Socket();
-    socket.setReceiveBufferSize(16 << 10);
-    socket.connect(
-        new InetSocketAddress("127.0.0.1", ((InetSocketAddress) node.address()).getPort()));
-    FakePeer.Connection connection = new FakePeer.Connection(socket);
-    resources.add(connection);
-    return connection;
-  }
-
   private static String request(String id) {
     String list = "c=read,t=p,d=4000,units=1,spread=3,first=1";
     return String.format(
@@ -111,7 +99,7 @@
     final long directBytesBefore = directMemoryBytes();
     List<FakePeer.Connection> slowReaders = new ArrayList<>();
     for (int i = 0; i < SLOW_READERS; i++) {
-      slowReaders.add(connectSlowReader());
+      slowReaders.add(connectSlowReader(RECEIVE_BUFFER_BYTES));
       sendManyAtOnce(slowReaders.get(i), "s" + i + "-");
     }
     FakePeer.Connection ordinary = connectClient();
@@ -166,7 +154,7 @@
     FakePeer.Connection first = connectClient();
     sendGet(first, "first", "read", 4000);
     assertEquals(VALUE.length(), first.readMessage().get(0).length()); // the size is known by now
-    FakePeer.Connection client = connectSlowReader();
+    FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
     sendManyAtOnce(client, "n"); // fewer than a connection may have unanswered
     figure("/requests/read/taken", Integer.toString(COMMANDS_AT_ONCE + 1));
     figure("/in_flight", "0"); // all are answered, though the client has read nothing
--- a/src/test/java/edgenode/node/StreamedResponseTest.java
+++ b/src/test/java/edgenode/node/StreamedResponseTest.java
@@ -8,8 +8,6 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -22,6 +20,9 @@
 class StreamedResponseTest extends EdgeNodeFixture {
   private static final int MAX_VALUE_BYTES = 4 << 20;
 
+  /** Small: else the kernel would buffer some MB of each value. */
+  private static final int RECEIVE_BUFFER_BYTES = 32 << 10;
+
   @BeforeEach
   void enableAdmin() {
     hasAdminAddress = true;
@@ -126,12 +127,7 @@
     byte[] value = value(MAX_VALUE_BYTES, 7);
     long before = directMemoryBytes();
     for (int i = 0; i < many; i++) {
-      Socket socket = new Socket();
-      socket.setReceiveBufferSize(32 << 10); // else the kernel would buffer some MB of each
-      socket.connect(
-          new InetSocketAddress("127.0.0.1", ((InetSocketAddress) node.address()).getPort()));
-      FakePeer.Connection client = new FakePeer.Connection(socket);
-      resources.add(client);
+      FakePeer.Connection client = connectSlowReader(RECEIVE_BUFFER_BYTES);
       clients.add(client);
       sendGet(client, "b" + i, "read", 20_000);
       FakePeer.Connection at = i == 0 ? serverConnection : appServer.accept();
