--- a/src/test/java/edgenode/membership/MembershipProperties.java
+++ b/src/test/java/edgenode/membership/MembershipProperties.java
@@ -64,8 +64,9 @@
         String id = "s" + random.nextInt(8);
         switch (random.nextInt(4)) {
           case 0 -> next.remove(id);
-          case 1 -> next.put(id, MembershipTest.endpoint(id, id + ":1", EndpointState.DRAINING, 0));
-          default -> next.put(id, MembershipTest.endpoint(id, id + ":1", EndpointState.UP, 0));
+          case 1 ->
+              next.put(id, MembershipFixture.endpoint(id, id + ":1", EndpointState.DRAINING, 0));
+          default -> next.put(id, MembershipFixture.endpoint(id, id + ":1", EndpointState.UP, 0));
         }
       }
       versions.add(next);
@@ -78,7 +79,7 @@
       Map<String, DiscoveredEndpoint> after = at(to);
       for (String id : new TreeSet<>(before.keySet())) {
         if (!after.containsKey(id)) {
-          changed.add(MembershipTest.endpoint(id, null, EndpointState.REMOVED, 0));
+          changed.add(MembershipFixture.endpoint(id, null, EndpointState.REMOVED, 0));
         }
       }
       after.forEach(
--- a/src/test/java/edgenode/membership/MembershipTest.java
+++ b/src/test/java/edgenode/membership/MembershipTest.java
@@ -4,94 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import edgenode.policy.EndpointInfo;
 import edgenode.policy.EndpointState;
-import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
-import java.util.Map;
-import java.util.TreeMap;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 
 /** Each rule of the membership by itself; times are ms. */
-class MembershipTest {
-  private static final MembershipLimits LIMITS = MembershipLimits.defaults(18_000);
-  private static final String SOURCE_A = "a:1";
-  private static final String SOURCE_B = "b:1";
-  private Membership membership = new Membership(LIMITS, SOURCE_A);
-  private final Map<String, DiscoveredEndpoint> view = new TreeMap<>();
-  private final List<String> messages = new ArrayList<>();
-  private boolean mustResync;
-  private double nowMs = 1_000_000;
-
-  static DiscoveredEndpoint endpoint(
-      String id, String address, EndpointState state, double startedAtMs) {
-    return new DiscoveredEndpoint(
-        new EndpointInfo(id, 1, "z", state, "m", startedAtMs, 1), address);
-  }
-
-  private static DiscoveredEndpoint up(String id) {
-    return endpoint(id, id + ":1", EndpointState.UP, 0);
-  }
-
-  private static DiscoveredEndpoint down(String id) {
-    return endpoint(id, id + ":1", EndpointState.DRAINING, 0);
-  }
-
-  private static DiscoveredEndpoint removed(String id) {
-    return endpoint(id, null, EndpointState.REMOVED, 0);
-  }
-
-  private void apply(MembershipUpdate update) {
-    messages.addAll(update.messages());
-    mustResync |= update.mustResync();
-    for (DiscoveredEndpoint endpoint : update.endpoints()) {
-      if (endpoint.info().state() == EndpointState.REMOVED) {
-        assertTrue(view.remove(endpoint.id()) != null, "removed, never reported: " + endpoint);
-      } else {
-        boolean isRepeated = endpoint.equals(view.put(endpoint.id(), endpoint));
-        assertFalse(isRepeated, "reported again: " + endpoint);
-      }
-    }
-  }
-
-  private void receive(
-      String sourceId, long version, boolean isComplete, DiscoveredEndpoint... reported) {
-    apply(
-        membership.endpointsReceived(
-            nowMs, sourceId, version, isComplete, Arrays.asList(reported)));
-  }
-
-  private void advance(double durationMs) {
-    double untilMs = nowMs + durationMs;
-    while (membership.nextTickMs() <= untilMs) {
-      nowMs = Math.max(nowMs, membership.nextTickMs());
-      apply(membership.tick(nowMs));
-    }
-    nowMs = untilMs;
-    apply(membership.tick(nowMs));
-  }
-
-  /** Ids of the endpoints that are up. */
-  private String upEndpoints() {
-    return view.values().stream()
-        .filter(e -> e.info().state() == EndpointState.UP)
-        .map(DiscoveredEndpoint::id)
-        .collect(Collectors.joining(" "));
-  }
-
-  private void start(String... ids) {
-    receive(
-        SOURCE_A,
-        40,
-        true,
-        Arrays.stream(ids).map(MembershipTest::up).toArray(DiscoveredEndpoint[]::new));
-    for (String id : ids) {
-      apply(membership.connected(nowMs, id));
-    }
-    assertEquals(String.join(" ", ids), upEndpoints());
-  }
+class MembershipTest extends MembershipFixture {
 
   @Test
   void initialListIsUsedUntilASourceReports() {
@@ -270,64 +188,6 @@
     assertEquals("t0 t1 t2", upEndpoints());
   }
 
-  /**
-   * Guards against work that was sent to a process that had come up at the address of another one,
-   * for which it was taken until the list had the old one removed.
-   */
-  @Test
-  void endpointWhoseAddressANewOneTakesGetsNothingNew() {
-    start("s0", "s1");
-    DiscoveredEndpoint newProcess = endpoint("t0", "s0:1", EndpointState.UP, nowMs);
-    receive(SOURCE_A, 41, false, newProcess);
-    assertEquals("s1 t0", upEndpoints());
-    receive(SOURCE_A, 42, false, down("s0"));
-    receive(SOURCE_A, 43, false, up("s0")); // it is changed, and has not started anew
-    assertEquals("s1 t0", upEndpoints());
-    receive(SOURCE_A, 44, true, up("s0"), up("s1"), newProcess);
-    assertEquals("s1 t0", upEndpoints());
-    receive(SOURCE_A, 45, false, endpoint("s0", "s0:2", EndpointState.UP, 0));
-    advance(1000);
-    assertEquals("s0 s1 t0", upEndpoints()); // it has an address of its own again
-  }
-
-  /** An endpoint whose process starts once more at its old address has it again. */
-  @Test
-  void endpointThatStartsAgainHasItsAddressAgain() {
-    start("s0", "s1");
-    receive(SOURCE_A, 41, false, endpoint("t0", "s0:1", EndpointState.UP, nowMs));
-    assertEquals("s1 t0", upEndpoints());
-    receive(SOURCE_A, 42, false, endpoint("s0", "s0:1", EndpointState.UP, nowMs + 1));
-    advance(1000);
-    assertEquals("s0 s1", upEndpoints());
-  }
-
-  /** Once the later process is removed, the list counts for the earlier one. */
-  @Test
-  void laterStartedOfTwoAtOneAddressHasIt() {
-    receive(
-        SOURCE_A,
-        40,
-        true,
-        endpoint("s0", "x:1", EndpointState.UP, 2),
-        endpoint("s1", "x:1", EndpointState.UP, 1),
-        endpoint("s2", "y:1", EndpointState.UP, 1),
-        endpoint("s3", "y:1", EndpointState.UP, 1));
-    assertEquals("s0 s2 s3", upEndpoints()); // of the last two it is not known
-    receive(SOURCE_A, 41, false, removed("s0"));
-    advance(1000);
-    assertEquals("s1 s2 s3", upEndpoints());
-  }
-
-  /** Guards against keeping an endpoint for alive, as another one answers at its address. */
-  @Test
-  void missingEndpointWhoseAddressIsTakenIsNotQuarantined() {
-    start("s0", "s1", "s2", "s3", "s4");
-    receive(SOURCE_A, 41, true, endpoint("t0", "s0:1", EndpointState.UP, 0));
-    assertEquals("s1 s2 s3 s4 t0", upEndpoints());
-    receive(SOURCE_A, 42, false, endpoint("t1", "s1:1", EndpointState.UP, 0));
-    assertEquals("s2 s3 s4 t0 t1", upEndpoints());
-  }
-
   @Test
   void quarantinedEndpointDrainsWhenToldTo() {
     start("s0", "s1", "s2");
