Tests: an endpoint reads its request before it answers it

Traced in a copy that prints writes and ends of connections, beside ten busy processes: three failures in 32 plays. The test wrote the second response as soon as its connection was accepted, without having read the request. Where the node had not written that yet, it closed the connection, as no response was due, and sent the request on a third one, which nobody answered until its time was over ("ended 2 0 TIMEOUT"). That is the test's race, and not the node's.

Change: the test reads the request first. What it wants is as it was.

--- a/src/test/java/edgenode/node/ConnectionEndTest.java
+++ b/src/test/java/edgenode/node/ConnectionEndTest.java
@@ -195,6 +195,7 @@
         serverConnection.readMessage().get(2).equals("01")
             ? List.of(serverConnection, second)
             : List.of(second, serverConnection);
+    second.readMessage(); // a response before its request would close the connection
     byNumber.get(0).writeAppServerValue("x".repeat(LONG_VALUE_BYTES));
     byNumber.get(1).write("*3\r\n$200000\r\n" + "y".repeat(1000));
     figure("/requests/read/served", "1");
